--- a/src/cluster.cc
+++ b/src/cluster.cc
@@ -1,5 +1,7 @@
 #include "cluster.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -775,7 +777,7 @@
                                              double now) {
   struct Sum {
     double slack = 0, heat = 0, fetch = 1e9;
-    int n = 0;
+    int n = 0, places = 0;
   };
   std::map<std::string, Sum> zones;
   for (const auto* m : fitting) {
@@ -784,10 +786,13 @@
     z.slack += std::max(0.0, slack(*m, m->free) + age * m->slack_slope);
     z.heat += std::max(0.0, m->heat + age * m->heat_slope);
     z.fetch = std::min(z.fetch, fetch_time(spec, *m));
+    z.places += spec.need.times_in(m->free);
     ++z.n;
   }
+  bool whole = spec.kind == JobKind::Gang && spec.one_zone;
   std::vector<std::pair<std::string, double>> odds;
   for (const auto& [name, z] : zones) {
+    if (whole && z.places < spec.tasks) continue;
     double u = std::log2(1 + z.slack / z.n) - c::kGamma * std::log2(1 + z.heat) - c::kFetchWeight * z.fetch;
     odds.push_back({name, std::exp2(u / c::kTau)});
   }
@@ -870,6 +875,13 @@
               " room for all its tasks at once";
     return false;
   }
+  if (config_.details) {
+    double fetch = 0;
+    for (const auto* m : places) fetch = std::max(fetch, fetch_time(spec, *m));
+    details_.push_back(fmt::format("job {} ({}): {} tasks placed in {} after {:.1f} s, slowest fetch {:.1f} s",
+                                   spec.id, spec.job_class, spec.tasks, places.front()->zone,
+                                   now - job.accepted_at, fetch));
+  }
   auto attempt = next_number();
   for (int i = 0; i < spec.tasks; ++i) assign(job, i, *places[static_cast<std::size_t>(i)], attempt, now);
   return true;
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -29,6 +29,7 @@
   /// s a holder without contact to the state service goes on answering workers, see rule_keepalive().
   double keepalive() const;
   int tasks_per_shard() const;
+  bool details = false;  // keep lines for the debug log, see take_details()
 };
 
 enum class TaskPhase : std::uint8_t { Queued, Active, Done };
@@ -173,6 +174,8 @@
   bool want_plan() const { return want_plan_; }
   /// One line per event worth an operator's attention; the actor logs them.
   std::vector<std::string> take_notes() { return std::exchange(notes_, {}); }
+  /// One line per placed gang, when the configuration asks for it.
+  std::vector<std::string> take_details() { return std::exchange(details_, {}); }
 
  private:
   using TaskKey = std::pair<std::string, int>;
@@ -220,7 +223,7 @@
   std::map<std::string, Team> teams_;
   std::vector<std::pair<std::string, int>> dirty_;  // shards to write, oldest first
   std::unordered_set<std::string> changed_;
-  std::vector<std::string> notes_;
+  std::vector<std::string> notes_, details_;
   bool want_plan_ = true, accelerators_wanted_ = false;
   std::optional<Priority> accelerator_users_;
 };
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -9,14 +9,6 @@
 namespace c = constants;
 namespace {
 
-int tasks_per_machine(const Resources& need, const Resources& size) {
-  double n = 1e6;
-  if (need.cpus > 0) n = std::min(n, size.cpus / need.cpus);
-  if (need.gpus > 0) n = std::min(n, size.gpus / need.gpus);
-  if (need.memory_gb > 0) n = std::min(n, size.memory_gb / need.memory_gb);
-  return static_cast<int>(n + 1e-6);
-}
-
 struct Stock {
   int busy = 0, idle = 0, coming = 0;
   std::map<std::string, int> in_zone;
@@ -54,11 +46,11 @@
   auto types_for = [&](const JobSpec& spec) {
     std::vector<const MachineType*> fit;
     for (const auto& t : cluster.catalog()) {
-      if (spec.allows_type(t.name) && tasks_per_machine(spec.need, t.size) > 0) fit.push_back(&t);
+      if (spec.allows_type(t.name) && spec.need.times_in(t.size) > 0) fit.push_back(&t);
     }
     std::sort(fit.begin(), fit.end(), [&](auto* a, auto* b) {
-      return a->price / tasks_per_machine(spec.need, a->size) <
-             b->price / tasks_per_machine(spec.need, b->size);
+      return a->price / spec.need.times_in(a->size) <
+             b->price / spec.need.times_in(b->size);
     });
     return fit;
   };
@@ -71,7 +63,7 @@
     if (job.spec.spot) s.spot_fits = true;
     if (fit.size() > 1) overflow_to[fit[0]->name] = fit[1];
     if (job.queued > 0 && job.not_before <= now)
-      s.want += static_cast<double>(job.queued) / tasks_per_machine(job.spec.need, fit[0]->size);
+      s.want += static_cast<double>(job.queued) / job.spec.need.times_in(fit[0]->size);
   }
   auto types = cluster.catalog();
   std::sort(types.begin(), types.end(), [](const auto& a, const auto& b) { return a.price < b.price; });
--- a/src/leader.cc
+++ b/src/leader.cc
@@ -133,6 +133,7 @@
   config.zones = settings_.zones;
   config.teams = settings_.teams;
   config.finish_within = settings_.finish_within;
+  config.details = spdlog::should_log(spdlog::level::debug);
   cluster_ = std::make_unique<Cluster>(config, term_, led_since_, term_);
   cluster_->set_catalog(catalog_.types());
   garbage_.clear();
@@ -294,6 +295,7 @@
 void Leader::react() {
   if (role_ != Role::Leading) return;
   for (const auto& note : cluster_->take_notes()) spdlog::info("{}", note);
+  for (const auto& detail : cluster_->take_details()) spdlog::debug("{}", detail);
   flush_orders();
   pump_writes();
   if (cluster_->want_plan() && !plan_timer_.active()) {
--- a/src/types.h
+++ b/src/types.h
@@ -21,6 +21,14 @@
     cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
     return *this;
   }
+  /// How many of these fit into the room.
+  int times_in(const Resources& room) const {
+    double n = 1e6;
+    if (cpus > 0) n = std::min(n, room.cpus / cpus);
+    if (gpus > 0) n = std::min(n, room.gpus / gpus);
+    if (memory_gb > 0) n = std::min(n, room.memory_gb / memory_gb);
+    return std::max(0, static_cast<int>(n + 1e-6));
+  }
   bool fits(const Resources& room) const {
     constexpr double e = 1e-6;
     return cpus <= room.cpus + e && gpus <= room.gpus + e && memory_gb <= room.memory_gb + e;
