--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -49,8 +49,7 @@
       if (spec.allows_type(t.name) && spec.need.times_in(t.size) > 0) fit.push_back(&t);
     }
     std::sort(fit.begin(), fit.end(), [&](auto* a, auto* b) {
-      return a->price / spec.need.times_in(a->size) <
-             b->price / spec.need.times_in(b->size);
+      return a->price / spec.need.times_in(a->size) < b->price / spec.need.times_in(b->size);
     });
     return fit;
   };
