--- a/src/cluster.h
+++ b/src/cluster.h
@@ -172,6 +172,8 @@
   /// Jobs whose displayed state changed since the last call.
   std::unordered_set<std::string> take_changed() { return std::exchange(changed_, {}); }
   bool want_plan() const { return want_plan_; }
+  /// Machines and tasks looked at by placement and preemption so far: the work done, counted not timed.
+  std::uint64_t steps() const { return steps_; }
   /// One line per event worth an operator's attention; the actor logs them.
   std::vector<std::string> take_notes() { return std::exchange(notes_, {}); }
   /// One line per placed gang, when the configuration asks for it.
@@ -224,6 +226,7 @@
   std::vector<std::pair<std::string, int>> dirty_;  // shards to write, oldest first
   std::unordered_set<std::string> changed_;
   std::vector<std::string> notes_, details_;
+  mutable std::uint64_t steps_ = 0;
   bool want_plan_ = true, accelerators_wanted_ = false;
   std::optional<Priority> accelerator_users_;
 };
--- a/src/cluster_placement.cc
+++ b/src/cluster_placement.cc
@@ -105,6 +105,7 @@
   std::vector<Machine*> plain, with_gpus, doubtful;
   double free_gpus = 0, busy_gpus = 0;
   for (auto& [name, m] : machines_) {
+    ++steps_;
     if (!usable(m, now)) continue;
     if (m.size.gpus > 0) free_gpus += m.free.gpus, busy_gpus += m.size.gpus - m.free.gpus;
     if (!allowed(spec, m) || !spec.need.fits(m.free)) continue;
