A keeper holds as many workers as its record has room for

Ruled out: the workers' search (all had found a controller of their zone within 11 s, the lease is 16 s). Now the bound is the record's size in the store.

--- a/src/constants.h
+++ b/src/constants.h
@@ -44,7 +44,8 @@
     0.4;                                     // of a zone's machines; above, the network is to blame, not them
 inline constexpr double kRelayWindow = 8.0;  // s; a worker back within it could not reach the leader
 inline constexpr double kKnownJob = 2.0;     // s a keeper trusts what it read of a job
-inline constexpr std::size_t kMachineNameBytes = 32;  // bytes; a generous machine name in a keeper's record
+inline constexpr double kRecordShare =
+    0.8;  // of value_kb that a list in one record may take; the rest is its frame
 inline constexpr double kRelayTime = 30.0;      // s a worker is served through us before it is sent on again
 inline constexpr double kUnheardReports = 1.5;  // report intervals in which no worker at all spoke: cut off
 inline constexpr int kUnheardMachines = 3;      // machines up that make such a silence telling
--- a/src/keeper.cc
+++ b/src/keeper.cc
@@ -10,6 +10,9 @@
 namespace corkmux {
 namespace c = constants;
 using codec::Json;
+namespace {
+std::size_t name_bytes(const std::string& name) { return name.size() + 3; }  // quotes and comma
+}  // namespace
 
 Keeper::Keeper(Loop& loop, const Settings& settings, StateClient& state)
     : Actor(loop),
@@ -17,7 +20,7 @@
       key_(kKeeperPrefix + settings.label),
       span_(keeper_span(settings.lease_s)),
       forget_after_(settings.lease_s * (1 + c::kClockDrift) + 2 * c::kProofMargin),
-      most_(static_cast<std::size_t>(settings.value_kb * 1024 / (2 * c::kMachineNameBytes))),
+      room_(static_cast<std::size_t>(settings.value_kb * 1024 * c::kRecordShare)),
       timer_(loop) {}
 
 std::vector<std::string> Keeper::machines_in(const Json& record) {
@@ -34,7 +37,10 @@
 
 void Keeper::keep(Report report, Reply reply) {
   if (!seen_.count(report.machine)) {
-    if (seen_.size() >= most_) return reply(503, "");
+    // Guards against a record beyond the store's limit; what counts is the names' own length, so that one
+    // keeper holds a whole zone.
+    if (names_bytes_ + name_bytes(report.machine) > room_) return reply(503, "");
+    names_bytes_ += name_bytes(report.machine);
     spdlog::info("machine {} reaches us but not the leader: kept alive", report.machine);
   }
   seen_[report.machine] = steady_now();
@@ -43,14 +49,20 @@
   write();
 }
 
-void Keeper::release(const std::string& machine) { seen_.erase(machine); }
+void Keeper::release(const std::string& machine) {
+  if (seen_.erase(machine)) names_bytes_ -= name_bytes(machine);
+}
 
 void Keeper::write() {
   if (writing_) return;
   double now = steady_now();
   std::erase_if(seen_, [&](const auto& e) { return now - e.second > forget_after_; });
   std::set<std::string> names;
-  for (const auto& [name, at] : seen_) names.insert(name);
+  names_bytes_ = 0;
+  for (const auto& [name, at] : seen_) {
+    names.insert(name);
+    names_bytes_ += name_bytes(name);
+  }
   if (names.empty() && !stored_) return;
   writing_ = true;
   stored_ = !names.empty();
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -37,7 +37,7 @@
   StateClient& state_;
   std::string key_;
   double span_, forget_after_;
-  std::size_t most_;
+  std::size_t room_, names_bytes_ = 0;  // of the record that names the machines
   std::map<std::string, double> seen_;  // machine -> last report
   std::set<std::string> written_;
   double written_at_ = -1e9;
--- a/tests/keeper_test.cc
+++ b/tests/keeper_test.cc
@@ -56,6 +56,19 @@
   EXPECT_EQ(body["orders"][0]["verb"], "halt");
 }
 
+// A zone of a grown site has some 300 machines; a keeper that holds only part of them lets the rest of them die.
+TEST_F(KeeperTest, HoldsAsManyWorkersAsTheRecordHasRoomFor) {
+  put({{"j", 1}, {"c", 0}});
+  int kept = 0;
+  for (int i = 0; i < 700; ++i) {
+    report.machine = "n-" + std::to_string(100000 + i);
+    kept += keep().first == 200;
+  }
+  EXPECT_GE(kept, 500);
+  EXPECT_LT(kept, 700);
+  EXPECT_LE(state.values().at("k/one").dump().size(), 8u * 1024);
+}
+
 TEST_F(KeeperTest, DoesNotAnswerWithoutARecord) {
   put({{"j", 1}, {"c", 0}});
   state.down = true;
