Reports from beyond a cut reach the leader through the state service, and work goes on starting

The far zone's 330 workers find a controller of their zone within 11 s, but it only keeps tasks alive: nothing new starts on half of the machines for 40 s, and since each report made it ask the store for each of its jobs, it ran into the store's rate, answered 503, and 362 to 601 tasks died with their leases. Now a controller that reaches the state service but not the leader passes reports on as mail in batched records and hands the leader's answers back; launches go with the answers, as for any machine that cannot be reached. One book still decides everything, under the same proofs. DESIGN's split into several holders is still open; what a cut costs no longer speaks for it.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -127,6 +127,8 @@
   ReportResult on_report(const Report& report, Channel channel, double now);
   /// The commands a report's answer carries: what on_report gave plus launches for machines we cannot reach.
   void answered(const std::string& machine, double now);
+  /// Its reports come a way on which we cannot send it orders: launches go with the answers for a while.
+  void beyond_reach(const std::string& machine, double now);
   bool has_orders(const Machine& m) const;
   Orders take_orders(const std::string& machine, double now);
   enum class OrdersOutcome { Executed, Refused, Unsent, Unanswered };
--- a/src/cluster_preemption.cc
+++ b/src/cluster_preemption.cc
@@ -26,7 +26,8 @@
 
 /// Stops the least work of lower priority that lets the job start: of its own team where the team's limit is
 /// what it waits for, else on machines. What is already stopping counts as free, so nothing is stopped twice
-/// over. One walk over machines and their tasks, then a heap of machines by how much has to be stopped on each.
+/// over. One walk over machines and their tasks, then a heap of machines by how much has to be stopped on
+/// each.
 bool Cluster::make_room(Job& job, const std::unordered_set<std::string>& guaranteed, double now) {
   const JobSpec& spec = job.spec;
   auto team = teams_.find(spec.team);
--- a/src/cluster_workers.cc
+++ b/src/cluster_workers.cc
@@ -175,6 +175,13 @@
   if (Machine* m = machine(name)) m->last_answered = now;
 }
 
+void Cluster::beyond_reach(const std::string& name, double now) {
+  if (Machine* m = machine(name)) {
+    m->direct = false;
+    m->probe_at = now + 2 * config_.report_s;
+  }
+}
+
 bool Cluster::has_orders(const Machine& m) const {
   if (m.orders_in_flight || !m.up || m.address.empty()) return false;
   bool fence = m.token_seen < m.token;
--- a/src/constants.h
+++ b/src/constants.h
@@ -113,6 +113,14 @@
 inline constexpr std::size_t kToldCancels = 500;  // accepted cancels repeated to peers; about 6 KB
 inline constexpr double kRelayTimeout = 2.5;      // s; the worker waits 4 s
 inline constexpr double kPeerLost = 3.0;          // s without an answer: reports are not relayed there
+// --- mail through the state service ---
+inline constexpr double kMailShare =
+    0.1;  // of write_rps that one box may take; two or three are in use at a time
+inline constexpr double kMailTimeout = 3.0;  // s; the worker whose report it carries waits 4 s
+inline constexpr double kMailSweep = 0.25;   // s between looks for overdue mail
+inline constexpr int kMailSlots = 8;         // records a box writes in turn, so that none is read overwritten
+inline constexpr std::size_t kMailPending = 1000;  // reports on their way; three a machine of a large zone
+
 inline constexpr double kStateProbe = 0.7;  // s without an answer before a read asks whether it is there
 inline constexpr double kStateLost = 2.5;   // s without the state service while a peer has it: not ready
 inline constexpr int kRetryAfter = 1;       // s told to callers; the shortest they respect
--- a/src/controller.h
+++ b/src/controller.h
@@ -14,12 +14,14 @@
   bool leading() const { return leader_.leading(); }
 
  private:
+  std::string own_label_;
   StateClient state_;
   http::Client cloud_;
   Catalog catalog_;
   Leader leader_;
   Peers peers_;
   Keeper keeper_;
+  Mail mail_;
   Gateway gateway_;
 };
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -12,7 +12,7 @@
 using codec::Json;
 
 Gateway::Gateway(Loop& loop, const Settings& settings, StateClient& state, Catalog& catalog, Leader& leader,
-                 Peers& peers, Keeper& keeper)
+                 Peers& peers, Keeper& keeper, Mail& mail)
     : Actor(loop),
       settings_(settings),
       state_(state),
@@ -20,6 +20,7 @@
       leader_(leader),
       peers_(peers),
       keeper_(keeper),
+      mail_(mail),
       probe_(loop),
       server_(loop, settings.listen,
               static_cast<std::size_t>(std::max(16, settings.max_connections - c::kReservedSockets)),
@@ -233,8 +234,9 @@
   auto r = parsed ? codec::parse_report(*parsed) : std::nullopt;
   if (!r) return answer(id, 400, codec::error_to_wire("not a report"));
   if (leader_label_ == settings_.label)
-    return leader_.tell(
-        [r = std::move(*r), pass](Leader& leader) mutable { leader.report(std::move(r), pass); });
+    return leader_.tell([r = std::move(*r), pass](Leader& leader) mutable {
+      leader.report(std::move(r), Leader::Way::Direct, pass);
+    });
   if (leader_label_.empty()) return pass(503, "");
   double now = steady_now();
   if (visitors_.size() > 4096) visitors_.clear();
@@ -247,27 +249,30 @@
     auto keep = [this, pass](Report lost) {
       keeper_.tell([lost = std::move(lost), pass](Keeper& k) mutable { k.keep(std::move(lost), pass); });
     };
-    if (!peers_.reachable(leader_label_)) return keep(std::move(*r));
-    return peers_.relay(leader_label_, body,
-                        [this, pass, keep, lost = *r](int status, std::string bytes) mutable {
-                          if (status == 0) return keep(std::move(lost));
-                          if (status != 200) visitors_.erase(lost.machine);
-                          if (status == 200)
-                            keeper_.tell([name = lost.machine](Keeper& k) { k.release(name); });
-                          pass(status, std::move(bytes));
-                        });
+    auto passed_on = [this, pass, keep, lost = *r](int status, std::string bytes) mutable {
+      if (status == 0) return keep(std::move(lost));
+      if (status != 200) visitors_.erase(lost.machine);
+      if (status == 200) keeper_.tell([name = lost.machine](Keeper& k) { k.release(name); });
+      pass(status, std::move(bytes));
+    };
+    if (peers_.reachable(leader_label_)) return peers_.relay(leader_label_, body, std::move(passed_on));
+    // Beyond a cut the state service still carries reports to the leader; only where it does not, the worker
+    // is merely kept alive.
+    return mail_.tell([to = leader_label_, body, passed_on = std::move(passed_on)](Mail& m) mutable {
+      m.request(to, body, std::move(passed_on));
+    });
   }
   v.redirected_at = now;
   pass(421, codec::pack(codec::report_to_other(leader_label_)));
 }
 
-void Gateway::relayed(const std::string& body, std::function<void(int, std::string)> reply) {
+void Gateway::relayed(const std::string& body, std::function<void(int, std::string)> reply, Leader::Way way) {
   auto parsed = codec::unpack(body);
   auto r = parsed ? codec::parse_report(*parsed) : std::nullopt;
   if (!r) return reply(400, "");
   if (leader_label_ != settings_.label) return reply(503, "");
-  leader_.tell([r = std::move(*r), reply = std::move(reply)](Leader& leader) mutable {
-    leader.report(std::move(r), std::move(reply));
+  leader_.tell([r = std::move(*r), reply = std::move(reply), way](Leader& leader) mutable {
+    leader.report(std::move(r), way, std::move(reply));
   });
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -7,6 +7,7 @@
 #include "catalog.h"
 #include "keeper.h"
 #include "leader.h"
+#include "mail.h"
 #include "peers.h"
 
 namespace corkmux {
@@ -14,7 +15,7 @@
 class Gateway : public Actor<Gateway> {
  public:
   Gateway(Loop& loop, const Settings& settings, StateClient& state, Catalog& catalog, Leader& leader,
-          Peers& peers, Keeper& keeper);
+          Peers& peers, Keeper& keeper, Mail& mail);
   void leader_changed(const std::string& label) {
     // What was learnt of the former leader's reach says nothing of the next one's.
     if (label != leader_label_) visitors_.clear();
@@ -22,7 +23,7 @@
   }
   void view(const codec::JobView& view);
   /// A report that a peer passed on because its worker could not reach us.
-  void relayed(const std::string& body, std::function<void(int, std::string)> reply);
+  void relayed(const std::string& body, std::function<void(int, std::string)> reply, Leader::Way way);
   void start();
   bool state_ok() const;
   int port() const { return server_.port(); }
@@ -50,6 +51,7 @@
   Leader& leader_;
   Peers& peers_;
   Keeper& keeper_;
+  Mail& mail_;
   Timer probe_;
   bool probing_ = false;
   std::string leader_label_;
--- a/src/leader.cc
+++ b/src/leader.cc
@@ -170,7 +170,7 @@
   for (auto* t :
        {&renew_timer_, &tick_timer_, &fleet_timer_, &plan_timer_, &write_timer_, &jobs_timer_, &rent_soon_})
     t->stop();
-  for (auto& [report, reply] : std::exchange(parked_, {})) reply(503, "");
+  for (auto& p : std::exchange(parked_, {})) p.reply(503, "");
   workers_.clear();
   cluster_.reset();
   announce("", 0);
@@ -254,7 +254,7 @@
   fleet_timer_.every(c::kFleetTick, [this] { fleet_tick(); });
   watch_jobs();
   list_machines("");
-  for (auto& [report, reply] : std::exchange(parked_, {})) handle_report(report, reply);
+  for (auto& p : std::exchange(parked_, {})) handle_report(p.report, p.way, p.reply);
   react();
 }
 
@@ -464,24 +464,27 @@
   return *client;
 }
 
-void Leader::report(Report r, ReportReply reply) {
+void Leader::report(Report r, Way way, ReportReply reply) {
   if (role_ == Role::Loading) {
     if (parked_.size() >= c::kParkedReports) return reply(503, "");
-    parked_.push_back({std::move(r), std::move(reply)});
+    parked_.push_back({std::move(r), way, std::move(reply)});
     return;
   }
-  handle_report(r, reply);
+  handle_report(r, way, reply);
 }
 
-void Leader::handle_report(const Report& r, const ReportReply& reply) {
+void Leader::handle_report(const Report& r, Way way, const ReportReply& reply) {
   double now = steady_now();
   if (role_ != Role::Leading) return reply(503, "");
-  last_report_ = now;
+  // Mail says nothing of whether workers reach us, see check_reach().
+  if (way == Way::Direct) last_report_ = now;
   // Without word from the state service we may have been replaced, and cancels go unseen: workers are kept
   // alive only as long as a cancel can still be met.
   if (now - std::max(contact_, vouched_) > cluster_->config().keepalive()) return reply(503, "");
   if (spdlog::should_log(spdlog::level::debug) && !cluster_->machine(r.machine))
     spdlog::debug("machine {} reports for the first time: {} in {}", r.machine, r.type, r.zone);
+  // Guards against orders into a cut: each would wait in vain while the launches could go with this answer.
+  if (way == Way::Mail) cluster_->beyond_reach(r.machine, now);
   auto result = cluster_->on_report(r, Cluster::Channel::Report, now);
   if (result.superseded) {
     reply(503, "");
--- a/src/leader.h
+++ b/src/leader.h
@@ -15,6 +15,8 @@
 class Leader : public Actor<Leader> {
  public:
   using ReportReply = std::function<void(int status, std::string body)>;
+  /// How a report came: from a worker that reaches us or one of our peers, or through the state service.
+  enum class Way { Direct, Mail };
   struct Hooks {
     std::function<void(std::string label, std::uint64_t term)> leader_changed;  // empty label: none known
     std::function<void(std::vector<codec::JobView>)> views;                     // changed job displays
@@ -25,7 +27,7 @@
   void start();
 
   // Messages.
-  void report(Report report, ReportReply reply);
+  void report(Report report, Way way, ReportReply reply);
   /// A peer saw a newer leader than us.
   void newer_term(std::uint64_t term);
   /// Peers accepted the cancel of these jobs.
@@ -63,7 +65,7 @@
   void flush_orders();
   void send_orders(const std::string& machine);
   void inspect(const std::string& machine);
-  void handle_report(const Report& report, const ReportReply& reply);
+  void handle_report(const Report& report, Way way, const ReportReply& reply);
   void tick();
   void fleet_tick();
   void rent_machines();
@@ -95,7 +97,12 @@
   double contact_ = -1e9;  // last moment the state service confirmed our leadership
   double led_since_ = 0, last_report_ = 0, hold_off_until_ = 0;
   std::unique_ptr<Cluster> cluster_;
-  std::vector<std::pair<Report, ReportReply>> parked_;  // reports that arrive while loading
+  struct Parked {
+    Report report;
+    Way way;
+    ReportReply reply;
+  };
+  std::vector<Parked> parked_;  // reports that arrive while loading
   std::vector<std::string> garbage_;
   int writes_in_flight_ = 0;
   double write_allowance_ = 0, allowance_at_ = 0;
--- /dev/null
+++ b/src/mail.cc
@@ -0,0 +1,169 @@
+#include "mail.h"
+
+#include <algorithm>
+#include <random>
+
+#include "constants.h"
+#include "store_keys.h"
+
+namespace corkmux {
+namespace c = constants;
+using codec::Json;
+
+Mail::Mail(Loop& loop, const Settings& settings, StateClient& state, Deliver deliver)
+    : Actor(loop),
+      label_(settings.label),
+      state_(state),
+      deliver_(std::move(deliver)),
+      room_(static_cast<std::size_t>(settings.value_kb * 1024 * c::kRecordShare)),
+      pause_(1 / std::max(1.0, settings.state_write_rps * c::kMailShare)),
+      // Guards against an answer meant for a former life of ours: numbers do not start over.
+      next_(std::uint64_t{std::random_device{}()} << 20),
+      sweeper_(loop),
+      retry_(loop) {
+  sweeper_.every(c::kMailSweep, [this] { sweep(); });
+}
+
+void Mail::request(const std::string& to, const std::string& body, Reply reply) {
+  auto parsed = codec::unpack(body);
+  if (!parsed || pending_.size() >= c::kMailPending) return reply(0, "");
+  auto id = ++next_;
+  pending_[id] = {steady_now() + c::kMailTimeout, std::move(reply)};
+  listen();
+  send(to, {{"q", id}, {"b", std::move(*parsed)}});
+}
+
+void Mail::serve(bool on) {
+  serving_ = on;
+  if (on) listen();
+}
+
+// ---------------------------------------------------------------- taking in
+
+void Mail::listen() {
+  if (listening_) return;
+  listening_ = true;
+  ready_ = false;
+  // The revision from which on we watch comes first; what we send waits for it, so that no answer is missed.
+  state_.list(kMailPrefix + label_ + "/", "", 1, [this](StateReply reply) {
+    if (!reply.ok()) {
+      listening_ = false;
+      // What waits to be sent is given up at once: its workers still have time to try elsewhere.
+      for (auto& [to, box] : boxes_)
+        for (const auto& item : std::exchange(box.items, {})) give_up(item);
+      if (wanted()) retry_.once(c::kRetryPause, [this] { listen(); });
+      return;
+    }
+    ready_ = true;
+    for (auto& [to, box] : boxes_) flush(to);
+    watch(codec::parse_page(reply.body).revision);
+  });
+}
+
+void Mail::watch(std::uint64_t after) {
+  state_.watch(kMailPrefix + label_ + "/", after, c::kWatchWait, [this, after](StateReply reply) {
+    if (!reply.ok()) {
+      listening_ = ready_ = false;
+      if (wanted()) retry_.once(c::kRetryPause, [this] { listen(); });
+      return;
+    }
+    auto events = codec::parse_events(reply.body);
+    for (const auto& e : events.events) take(e);
+    if (!wanted()) {
+      listening_ = ready_ = false;
+      return;
+    }
+    watch(std::max(after, events.revision));
+  });
+}
+
+void Mail::take(const codec::Event& event) {
+  if (!event.value || !event.value->is_object()) return;
+  std::string from = event.value->value("f", "");
+  auto items = event.value->find("i");
+  if (from.empty() || items == event.value->end() || !items->is_array()) return;
+  for (const auto& item : *items) {
+    if (!item.is_object()) continue;
+    const Json body = item.value("b", Json());
+    if (auto q = item.find("q"); q != item.end() && q->is_number_unsigned()) {
+      if (!serving_) continue;
+      deliver_(codec::pack(body), [this, from, id = q->get<std::uint64_t>()](int status, std::string answer) {
+        auto parsed = codec::unpack(answer);
+        send(from, {{"a", id}, {"s", status}, {"b", parsed ? std::move(*parsed) : Json()}});
+      });
+    } else if (auto a = item.find("a"); a != item.end() && a->is_number_unsigned()) {
+      auto it = pending_.find(a->get<std::uint64_t>());
+      if (it == pending_.end()) continue;
+      auto reply = std::move(it->second.reply);
+      pending_.erase(it);
+      reply(item.value("s", 0), body.is_null() ? std::string() : codec::pack(body));
+    }
+  }
+}
+
+// ---------------------------------------------------------------- sending
+
+void Mail::send(const std::string& to, Json item) {
+  Box& box = boxes_[to];
+  // Bounded: what does not fit is given up at once, its worker tries elsewhere.
+  if (box.items.size() >= c::kMailPending) return give_up(item);
+  box.items.push_back(std::move(item));
+  flush(to);
+}
+
+void Mail::flush(const std::string& to) {
+  Box& box = boxes_[to];
+  if (box.writing || box.items.empty() || !ready_) return;
+  box.writing = true;
+  if (!box.timer) box.timer = std::make_unique<Timer>(loop_);
+  // One record at a time, and at most some a second: mail is what waits first when changes run short.
+  box.timer->once(box.last + pause_ - steady_now(), [this, to] { write(to); });
+}
+
+void Mail::write(const std::string& to) {
+  Box& box = boxes_[to];
+  box.last = steady_now();
+  std::vector<Json> sent;
+  std::size_t size = 0;
+  while (!box.items.empty()) {
+    size += box.items.front().dump().size() + 1;
+    if (!sent.empty() && size > room_) break;
+    sent.push_back(std::move(box.items.front()));
+    box.items.pop_front();
+  }
+  box.slot = (box.slot + 1) % c::kMailSlots;
+  std::string key = kMailPrefix + to + "/" + label_ + "/" + std::to_string(box.slot);
+  std::vector<codec::Write> record{{key, Json{{"f", label_}, {"i", sent}}, 0}};
+  state_.txn({}, record, [this, to, sent = std::move(sent)](StateReply reply) {
+    boxes_[to].writing = false;
+    if (!reply.ok())
+      for (const auto& item : sent) give_up(item);
+    flush(to);
+  });
+}
+
+void Mail::give_up(const Json& item) {
+  auto q = item.find("q");
+  if (q == item.end()) return;
+  auto it = pending_.find(q->get<std::uint64_t>());
+  if (it == pending_.end()) return;
+  auto reply = std::move(it->second.reply);
+  pending_.erase(it);
+  reply(0, "");
+}
+
+void Mail::sweep() {
+  double now = steady_now();
+  std::vector<Reply> late;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (it->second.deadline <= now) {
+      late.push_back(std::move(it->second.reply));
+      it = pending_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (auto& reply : late) reply(0, "");
+}
+
+}  // namespace corkmux
--- /dev/null
+++ b/src/mail.h
@@ -0,0 +1,65 @@
+// Messages between controllers that cannot reach each other, passed through the state service, which both
+// reach.
+//
+// Zones cut off from each other leave workers that reach a controller but not the leader. Their reports go to
+// the leader as mail and its answers come back the same way, so work goes on starting beyond the cut while
+// one book still decides everything. Nothing rests on the mail being delivered: a lost or late answer is one
+// the worker never got, which the book allows for with every answer.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "settings.h"
+#include "state_client.h"
+
+namespace corkmux {
+
+class Mail : public Actor<Mail> {
+ public:
+  using Reply = std::function<void(int status, std::string body)>;
+  using Deliver = std::function<void(std::string body, Reply reply)>;
+  /// `deliver` handles what others send us.
+  Mail(Loop& loop, const Settings& settings, StateClient& state, Deliver deliver);
+  /// Status 0: no answer in time, or it could not be sent.
+  void request(const std::string& to, const std::string& body, Reply reply);
+  /// While set, mail is taken in even without requests of our own.
+  void serve(bool on);
+
+ private:
+  struct Box {
+    std::deque<codec::Json> items;
+    bool writing = false;
+    int slot = 0;
+    double last = -1e9;
+    std::unique_ptr<Timer> timer;
+  };
+  struct Pending {
+    double deadline = 0;
+    Reply reply;
+  };
+  void listen();
+  void watch(std::uint64_t after);
+  void take(const codec::Event& event);
+  void send(const std::string& to, codec::Json item);
+  void flush(const std::string& to);
+  void write(const std::string& to);
+  void sweep();
+  void give_up(const codec::Json& item);
+  bool wanted() const { return serving_ || !pending_.empty(); }
+
+  std::string label_;
+  StateClient& state_;
+  Deliver deliver_;
+  std::size_t room_;
+  double pause_;
+  std::map<std::string, Box> boxes_;
+  std::map<std::uint64_t, Pending> pending_;
+  std::uint64_t next_;
+  bool serving_ = false, listening_ = false, ready_ = false;
+  Timer sweeper_, retry_;
+};
+
+}  // namespace corkmux
--- a/src/state_client.cc
+++ b/src/state_client.cc
@@ -7,7 +7,7 @@
 
 StateClient::StateClient(Loop& loop, const std::string& address)
     : requests_(loop, address, c::kStateConnections, 256),
-      watches_(loop, address, 2, 8),
+      watches_(loop, address, 4, 8),
       grants_(loop, address, 1, 8) {}  // renewals never queue behind other requests
 
 void StateClient::send(http::Client& client, const char* method, std::string target, const codec::Json* body,
--- a/src/store_keys.h
+++ b/src/store_keys.h
@@ -8,6 +8,7 @@
 inline const std::string kJobs = "a/";          // unfinished jobs, by id
 inline const std::string kShards = "s/";        // their tasks: s/<job>/<n>
 inline const std::string kFinals = "f/";        // how finished jobs ended, kept for good
+inline const std::string kMailPrefix = "m/";    // mail between controllers: m/<to>/<from>/<slot>
 inline const std::string kKeeperPrefix = "k/";  // workers that a keeper answers, by controller
 
 }  // namespace corkmux
--- /dev/null
+++ b/tests/mail_test.cc
@@ -0,0 +1,82 @@
+// Mail between controllers that only the state service joins: everything arrives once, bounded in size and
+// rate, and what cannot be sent is given up at once.
+#include "mail.h"
+
+#include <gtest/gtest.h>
+
+#include "stand_ins.h"
+
+namespace corkmux {
+namespace {
+
+using codec::Json;
+
+struct MailTest : ::testing::Test {
+  Loop loop;
+  standin::State state{loop};
+  StateClient client{loop, state.address()};
+  std::vector<Json> delivered;
+  std::unique_ptr<Mail> near, far;
+  void SetUp() override {
+    Settings s;
+    s.value_kb = 8, s.state_write_rps = 500;
+    auto echo = [this](std::string body, Mail::Reply reply) {
+      delivered.push_back(*codec::unpack(body));
+      reply(200, body);
+    };
+    s.label = "near";
+    near = std::make_unique<Mail>(loop, s, client, echo);
+    s.label = "far";
+    far = std::make_unique<Mail>(loop, s, client, echo);
+  }
+  static Json report(int i) { return {{"host", "n-" + std::to_string(i)}, {"parts", std::string(300, 'x')}}; }
+  void run_until(const std::function<bool()>& condition) {
+    double until = steady_now() + 30;
+    while (!condition() && steady_now() < until) loop.run_once();
+  }
+};
+
+TEST_F(MailTest, CarriesReportsOfAWholeZoneAndTheirAnswersInRecordsThatFit) {
+  far->serve(true);
+  int answered = 0, wrong = 0;
+  for (int i = 0; i < 200; ++i)
+    near->request("far", codec::pack(report(i)), [&, i](int status, std::string body) {
+      ++answered;
+      auto echo = codec::unpack(body);
+      wrong += status != 200 || !echo || *echo != report(i);
+    });
+  run_until([&] { return answered == 200; });
+  EXPECT_EQ(answered, 200);
+  EXPECT_EQ(wrong, 0);
+  EXPECT_EQ(delivered.size(), 200u);
+  std::size_t records = 0;
+  for (const auto& [key, value] : state.values()) {
+    if (key.rfind("m/", 0) != 0) continue;
+    ++records;
+    EXPECT_LE(value.dump().size(), 8u * 1024) << key;
+  }
+  EXPECT_LE(records, 16u);  // a few slots each way, however much was sent
+}
+
+// A controller that does not lead takes no reports from others, whoever they thought it was.
+TEST_F(MailTest, OnlyOneThatServesIsDeliveredRequests) {
+  int status = -1;
+  near->request("far", codec::pack(report(1)), [&](int s, std::string) { status = s; });
+  run_until([&] { return status >= 0; });
+  EXPECT_EQ(status, 0);
+  EXPECT_TRUE(delivered.empty());
+}
+
+// The worker behind a report waits 4 s: in an outage it must hear at once that nothing is sent.
+TEST_F(MailTest, GivesUpWhenTheStateServiceIsAway) {
+  far->serve(true);
+  state.down = true;
+  int status = -1;
+  near->request("far", codec::pack(report(1)), [&](int s, std::string) { status = s; });
+  run_until([&] { return status >= 0; });
+  EXPECT_EQ(status, 0);
+  EXPECT_TRUE(delivered.empty());
+}
+
+}  // namespace
+}  // namespace corkmux
