Idle machines go back once jobs have ceased, not only after ten minutes

Ruled out: a shorter fixed time for all (it would return machines in the pauses of a quiet site). Now the book knows the usual gap between jobs; with no unfinished job for four gaps (30 s at least, half the minute that a rental costs anyway) all idle machines are returned.

--- a/src/cluster.cc
+++ b/src/cluster.cc
@@ -21,7 +21,7 @@
 }
 
 Cluster::Cluster(ClusterConfig config, std::uint64_t term, double now, std::uint64_t seed)
-    : config_(std::move(config)), term_(term), started_(now), rng_(seed) {
+    : config_(std::move(config)), term_(term), started_(now), rng_(seed), last_job_at_(now) {
   for (const auto& team : config_.teams) teams_[team.name] = team;
 }
 
@@ -56,6 +56,13 @@
     job.accepted_at = now - age_s;
     job.phase.assign(static_cast<std::size_t>(spec.tasks), TaskPhase::Queued);
     job.queued = spec.tasks;
+    if (age_s < c::kFreshArrival) {  // older ones were loaded, and say nothing of what comes next
+      if (last_arrival_ >= 0) {
+        double gap = now - last_arrival_;
+        arrival_gap_ = arrival_gap_ > 0 ? arrival_gap_ + c::kGapSmoothing * (gap - arrival_gap_) : gap;
+      }
+      last_arrival_ = now;
+    }
   }
   changed_.insert(spec.id);
   want_plan_ = true;
@@ -327,6 +334,7 @@
 }
 
 void Cluster::tick(double now) {
+  if (!jobs_.empty()) last_job_at_ = now;
   std::map<std::string, std::pair<int, int>> silent;  // zone -> silent, all
   for (auto& [name, m] : machines_) {
     if (!m.up || m.doomed) continue;
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -166,6 +166,10 @@
   const std::vector<MachineType>& catalog() const { return types_; }
   const MachineType* type(const std::string& name) const;
   const ClusterConfig& config() const { return config_; }
+  /// s since there was last any unfinished job.
+  double lull(double now) const { return jobs_.empty() ? now - last_job_at_ : 0; }
+  /// s between jobs as they have come of late; 0 while too few have.
+  double arrival_gap() const { return arrival_gap_; }
   Resources team_use(const std::string& team) const;
   bool usable(const Machine& m, double now) const;
   bool allowed(const JobSpec& spec, const Machine& m) const;
@@ -228,6 +232,7 @@
   std::vector<std::pair<std::string, int>> dirty_;  // shards to write, oldest first
   std::unordered_set<std::string> changed_;
   std::vector<std::string> notes_, details_;
+  double last_job_at_ = 0, last_arrival_ = -1, arrival_gap_ = 0;
   mutable std::uint64_t steps_ = 0;
   bool want_plan_ = true, accelerators_wanted_ = false;
   std::optional<Priority> accelerator_users_;
--- a/src/constants.h
+++ b/src/constants.h
@@ -87,6 +87,14 @@
 inline constexpr double kBootLate = 3.0;    // times the catalog's boot time before a boot counts as dead
 inline constexpr double kBootGrace = 15.0;  // s beyond that
 
+// Machines stay through the pauses between jobs, since a returned one loses its images. Once no job has been
+// there for several of the usual gaps, though, more waiting is more likely to cost than to spare a boot.
+inline constexpr double kLullGaps = 4.0;  // usual gaps; under steady arrivals one in fifty pauses is longer
+inline constexpr double kLullFloor =
+    30.0;  // s; half of the minute that every rental costs at least (PROTOCOL)
+inline constexpr double kGapSmoothing = 0.2;  // weight of the newest gap; about the last five jobs count
+inline constexpr double kFreshArrival = 5.0;  // s; a job older than that when we first see it was loaded
+
 inline constexpr double kNoCapacityPause = 20.0;  // s before a refused type and zone is asked again
 inline constexpr int kRentsAtOnce = 3;            // requests; the cloud's rate also carries lists and returns
 inline constexpr double kFleetTick = 1.0;         // s
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -24,6 +24,11 @@
                      double now) {
   FleetPlan out;
   if (!choices.manage_fleet) return out;
+  // Without any unfinished job for several of the usual gaps between jobs, nothing is kept in reserve.
+  double patience =
+      std::min(choices.idle_return_s, std::max(c::kLullFloor, c::kLullGaps * cluster.arrival_gap()));
+  bool quiet = cluster.lull(now) > patience;
+  double idle_limit = quiet ? std::min(patience, choices.idle_return_s) : choices.idle_return_s;
   std::map<std::string, Stock> stock;
   for (const auto& [name, m] : cluster.machines()) {
     if (m.doomed || m.sick || m.gone_at >= 0) continue;
@@ -37,7 +42,7 @@
     ++s.in_zone[m.zone];
     if (m.tasks.empty()) {
       ++s.idle;
-      if (now - m.idle_since > choices.idle_return_s && cluster.usable(m, now)) s.returnable.push_back(&m);
+      if (now - m.idle_since > idle_limit && cluster.usable(m, now)) s.returnable.push_back(&m);
     } else {
       ++s.busy;
     }
@@ -101,8 +106,8 @@
       if (!asked)
         if (auto o = overflow_to.find(t.name); o != overflow_to.end() && o->second->price > t.price)
           stock[o->second->name].want += missing / (1 + choices.headroom_share);
-    } else if (missing < -1) {
-      int surplus = -missing - 1;
+    } else if (int spare = quiet ? 0 : 1; missing < -spare) {
+      int surplus = -missing - spare;
       std::sort(s.returnable.begin(), s.returnable.end(),
                 [](auto* a, auto* b) { return a->idle_since < b->idle_since; });
       for (const auto* m : s.returnable) {
