Bids weigh a member, not the gang; of equals those still in time, then the smaller, go first

DESIGN lets priority times size win on one machine, and the paper's mass (III-B) is a task's: a gang bids on each machine with a member's size. Gangs of a class are then equals, and the order among equals is ours: start aims missed (new, from the settings), then as before.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -26,7 +26,8 @@
   int txn_ops = 12;
   std::vector<std::string> zones;
   std::vector<Team> teams;
-  std::map<std::string, double> finish_within;  // s, per class: the tightest aim on finishing
+  std::map<std::string, std::vector<double>> start_within;  // s, per class: the aims on starting, rising
+  std::map<std::string, double> finish_within;              // s, per class: the tightest aim on finishing
   /// s a holder without contact to the state service goes on answering workers, see rule_keepalive().
   double keepalive() const;
   int tasks_per_shard() const;
--- a/src/cluster_placement.cc
+++ b/src/cluster_placement.cc
@@ -88,12 +88,12 @@
   return out;
 }
 
+/// Of one bid on one machine, so a gang's size is that of a member (paper III-B: the mass of a task).
 double Cluster::weight(const Job& job, bool guaranteed) const {
   static constexpr double kPriorityWeight[] = {1, 4, 16, 64};
   double largest = 1;
   for (const auto& t : types_) largest = std::max(largest, t.size.cpus);
   double size = std::max({job.spec.need.cpus / largest, job.spec.need.gpus, 1 / largest});
-  if (job.spec.kind == JobKind::Gang) size *= job.spec.tasks;
   return kPriorityWeight[static_cast<int>(job.spec.priority)] * size * (guaranteed ? c::kGuaranteeBoost : 1);
 }
 
@@ -333,34 +333,52 @@
     return within > 0 && at - job.accepted_at > within;
   };
   auto left = [](const Job& job) { return job.queued * std::max(1.0, job.spec.estimate_s); };
-  std::vector<std::pair<double, Job*>> order;
-  for (auto& [id, job] : jobs_)
-    if (job.queued > 0 && !job.cancelled && now >= job.not_before)
-      order.push_back({weight(job, guaranteed.count(id) > 0), &job});
-  // The highest priority times size wins a machine: bids are settled in that order.
-  std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
-    if (a.first != b.first) return a.first > b.first;
-    // Of equals, first those that can still end in time, and of these the one with the least left to start:
-    // that way the fewest jobs are late when there is too little room.
-    auto late_a = late(*a.second, now), late_b = late(*b.second, now);
-    if (late_a != late_b) return late_b;
-    auto left_a = late_a ? 0 : left(*a.second), left_b = late_b ? 0 : left(*b.second);
-    return left_a != left_b ? left_a < left_b : a.second->order < b.second->order;
+  // Start aims already missed: of equals, such a job makes way for those that can still meet theirs.
+  auto missed = [this, now](const Job& job) {
+    auto aims = config_.start_within.find(job.spec.job_class);
+    if (aims == config_.start_within.end() || !job.active.empty() || job.done > 0) return 0;
+    int n = 0;
+    for (double within : aims->second) n += now - job.accepted_at > within;
+    return n;
+  };
+  struct Bid {
+    double weight;
+    int missed;
+    bool late;
+    double left;
+    Job* job;
+  };
+  std::vector<Bid> order;
+  for (auto& [id, job] : jobs_) {
+    if (job.queued <= 0 || job.cancelled || now < job.not_before) continue;
+    bool is_late = late(job, now);
+    order.push_back(
+        {weight(job, guaranteed.count(id) > 0), missed(job), is_late, is_late ? 0 : left(job), &job});
+  }
+  // The highest priority times size wins a machine: bids are settled in that order. Of equals, first those
+  // that can still start and end in time, and of these the one with the least left to start: that way the
+  // fewest jobs are late when there is too little room.
+  std::sort(order.begin(), order.end(), [](const Bid& a, const Bid& b) {
+    if (a.weight != b.weight) return a.weight > b.weight;
+    return std::tie(a.missed, a.late, a.left, a.job->order) <
+           std::tie(b.missed, b.late, b.left, b.job->order);
   });
   accelerators_wanted_ = false;
   accelerator_users_.reset();
   for (const auto& [id, job] : jobs_)
     if (job.spec.need.gpus > 0 && !job.cancelled)
       accelerator_users_ = std::max(job.spec.priority, accelerator_users_.value_or(job.spec.priority));
-  for (auto& [w, job] : order)
-    accelerators_wanted_ |= job->spec.need.gpus > 0 && within_limit(job->spec.team, job->spec.need);
+  for (const Bid& bid : order)
+    accelerators_wanted_ |=
+        bid.job->spec.need.gpus > 0 && within_limit(bid.job->spec.team, bid.job->spec.need);
   int budget = c::kPassBids, preemptors = 0;
   // Looking for work to stop is dear; it is left out where nothing of lower priority runs.
   Priority lowest = Priority::Production;
   for (const auto& [id, job] : jobs_)
     if (!job.active.empty() && job.spec.kind != JobKind::Gang) lowest = std::min(lowest, job.spec.priority);
   std::map<std::string, Priority> held;  // teams whose limit keeps a more urgent job waiting
-  for (auto& [w, job] : order) {
+  for (const Bid& bid : order) {
+    Job* job = bid.job;
     Resources wanted;
     for (int i = 0; i < (job->spec.kind == JobKind::Gang ? job->spec.tasks : 1); ++i)
       wanted += job->spec.need;
@@ -368,7 +386,8 @@
     auto [h, fresh] = held.try_emplace(job->spec.team, job->spec.priority);
     if (!fresh) h->second = std::max(h->second, job->spec.priority);
   }
-  for (auto& [w, job] : order) {
+  for (const Bid& bid : order) {
+    Job* job = bid.job;
     if (budget <= 0) {
       want_plan_ = true;
       break;
--- a/src/leader.cc
+++ b/src/leader.cc
@@ -132,6 +132,7 @@
   config.txn_ops = settings_.txn_ops;
   config.zones = settings_.zones;
   config.teams = settings_.teams;
+  config.start_within = settings_.start_within;
   config.finish_within = settings_.finish_within;
   config.details = spdlog::should_log(spdlog::level::debug);
   cluster_ = std::make_unique<Cluster>(config, term_, led_since_, term_);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -133,6 +133,11 @@
     s.teams.push_back(std::move(t));
   });
   cluster.each("objectives", false, [&](const Reader& r) {
+    if (r.text("kind") == "wait") {
+      auto& aims = s.start_within[r.text("class")];
+      aims.push_back(r.amount("within_s", true));
+      std::sort(aims.begin(), aims.end());
+    }
     if (r.text("kind") != "finished") return;
     double within = r.amount("within_s", true);
     auto [it, fresh] = s.finish_within.try_emplace(r.text("class"), within);
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -149,5 +149,38 @@
   EXPECT_TRUE(cluster.job("run-low")->active.empty());
 }
 
+// Guards against a queue in which work that is late anyway makes the rest late too: of bids of equal weight,
+// the one that can still meet its start aim goes first, then the one with the least left to start. A gang
+// bids on each machine with its member's size, so it does not outweigh a single task of its class.
+TEST(Placement, OfEqualBidsTheOneThatCanStillBeInTimeGoesFirst) {
+  ClusterConfig config;
+  config.teams = {{"x", 0, 0, 0, 0}};
+  config.start_within = {{"urgent", {10, 30}}};
+  auto started = [&](double first_age, int first_tasks, double second_age, int second_tasks) {
+    Cluster cluster(config, 1, 0, 3);
+    cluster.set_catalog({{"plain", {16, 0, 64}, 50, 1, 1, 1, 10, {"a"}}});
+    for (int i = 0; i < 2; ++i) {
+      Report r;
+      r.machine = "n-" + std::to_string(i), r.address = "x", r.type = "plain", r.zone = "a";
+      r.session = 1, r.seq = 1;
+      r.token = cluster.on_report(r, Cluster::Channel::Report, 0).token, r.seq = 2;
+      cluster.on_report(r, Cluster::Channel::Report, 0);
+    }
+    JobSpec s;
+    s.team = "x", s.job_class = "urgent", s.kind = JobKind::Gang, s.need = {16, 0, 1}, s.image = "i";
+    s.id = "run-first", s.tasks = first_tasks;
+    cluster.put_job(s, 1, false, 0, first_age);
+    s.id = "run-second", s.tasks = second_tasks;
+    cluster.put_job(s, 2, false, 0, second_age);
+    cluster.plan(0);
+    return cluster.job("run-first")->active.empty() ? "second" : "first";
+  };
+  EXPECT_STREQ(started(0, 2, 0, 2), "first");     // equal in all: in the order of acceptance
+  EXPECT_STREQ(started(20, 2, 0, 2), "second");   // the first has missed its tighter aim
+  EXPECT_STREQ(started(40, 2, 20, 2), "second");  // and the later one as well
+  EXPECT_STREQ(started(0, 2, 0, 1), "second");    // less left to start
+  EXPECT_STREQ(started(0, 2, 20, 1), "first");    // being in time goes before being small
+}
+
 }  // namespace
 }  // namespace corkmux
--- a/tests/scale_test.cc
+++ b/tests/scale_test.cc
@@ -56,7 +56,7 @@
 // that kept the leader busy for 400 ms at a time.
 TEST(Scale, AFullSiteWithALongQueueCostsAPassAboutOneLookAtEachMachine) {
   Grown site(600);
-  for (int i = 0; i < 300; ++i) site.add(JobKind::Gang, Priority::High, 1 + i % 16, 0);
+  for (int i = 0; i < 400; ++i) site.add(JobKind::Gang, Priority::High, 1 + i % 16, 0);
   for (int i = 0; i < 60; ++i) site.pass(0.1 * i);
   EXPECT_GT(site.started(), 1000u);
   std::size_t waiting = 0;
