--- a/tests/keeper_test.cc
+++ b/tests/keeper_test.cc
@@ -56,7 +56,8 @@
   EXPECT_EQ(body["orders"][0]["verb"], "halt");
 }
 
-// A zone of a grown site has some 300 machines; a keeper that holds only part of them lets the rest of them die.
+// A zone of a grown site has some 300 machines; a keeper that holds only part of them lets the rest of them
+// die.
 TEST_F(KeeperTest, HoldsAsManyWorkersAsTheRecordHasRoomFor) {
   put({{"j", 1}, {"c", 0}});
   int kept = 0;
