One piece of code for what a job needs at once and for the end of a request by mail

The sum of a gang's needs stood in four places, the end of a pending request in three; a second minimum in the idle rule and a mutable counter were needless.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -246,7 +246,7 @@
       std::tuple<double, double, double, bool, bool, bool, bool, int, std::string, std::vector<std::string>>;
   static Shape shape(const JobSpec& spec);
   std::map<Shape, int> not_fitting_;  // of this pass: the fewest tasks at once that found no room
-  mutable std::uint64_t steps_ = 0;
+  std::uint64_t steps_ = 0;
   bool want_plan_ = true, accelerators_wanted_ = false;
   std::optional<Priority> accelerator_users_;
 };
--- a/src/cluster_placement.cc
+++ b/src/cluster_placement.cc
@@ -223,9 +223,7 @@
 
 bool Cluster::place_gang(Job& job, bool doubtful_too, double now) {
   const JobSpec& spec = job.spec;
-  Resources total;
-  for (int i = 0; i < spec.tasks; ++i) total += spec.need;
-  if (!within_limit(spec.team, total)) {
+  if (!within_limit(spec.team, spec.at_once())) {
     job.why = "waiting: the team's limit leaves no room for the whole gang";
     return false;
   }
@@ -379,10 +377,7 @@
   std::map<std::string, Priority> held;  // teams whose limit keeps a more urgent job waiting
   for (const Bid& bid : order) {
     Job* job = bid.job;
-    Resources wanted;
-    for (int i = 0; i < (job->spec.kind == JobKind::Gang ? job->spec.tasks : 1); ++i)
-      wanted += job->spec.need;
-    if (within_limit(job->spec.team, wanted)) continue;
+    if (within_limit(job->spec.team, job->spec.at_once())) continue;
     auto [h, fresh] = held.try_emplace(job->spec.team, job->spec.priority);
     if (!fresh) h->second = std::max(h->second, job->spec.priority);
   }
@@ -404,9 +399,7 @@
     else
       budget -= place_tasks(*job, budget, now);
     if (job->queued == 0 || spec.priority <= lowest) continue;
-    Resources wanted;
-    for (int i = 0; i < (gang ? spec.tasks : 1); ++i) wanted += spec.need;
-    if (!within_limit(spec.team, wanted)) {
+    if (!within_limit(spec.team, spec.at_once())) {
       auto [h, fresh] = held.try_emplace(spec.team, spec.priority);
       if (!fresh) h->second = std::max(h->second, spec.priority);
     }
--- a/src/cluster_preemption.cc
+++ b/src/cluster_preemption.cc
@@ -79,8 +79,7 @@
     }
     if (open) groups[spec.one_zone ? m.zone : ""].push_back(std::move(place));
   }
-  Resources wanted;
-  for (int i = 0; i < tasks; ++i) wanted += spec.need;
+  const Resources wanted = spec.at_once();
   auto over = [&](Resources u) { return !team->second.allows(u += wanted); };
   const bool at_limit = over(use);  // then work of the same team goes first: it frees both room and limit
   auto cheaper = [&](const Victim& a, const Victim& b) {
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -28,7 +28,7 @@
   double patience =
       std::min(choices.idle_return_s, std::max(c::kLullFloor, c::kLullGaps * cluster.arrival_gap()));
   bool quiet = cluster.lull(now) > patience;
-  double idle_limit = quiet ? std::min(patience, choices.idle_return_s) : choices.idle_return_s;
+  double idle_limit = quiet ? patience : choices.idle_return_s;
   std::map<std::string, Stock> stock;
   for (const auto& [name, m] : cluster.machines()) {
     if (m.doomed || m.sick || m.gone_at >= 0) continue;
--- a/src/mail.cc
+++ b/src/mail.cc
@@ -92,11 +92,7 @@
         send(from, {{"a", id}, {"s", status}, {"b", parsed ? std::move(*parsed) : Json()}});
       });
     } else if (auto a = item.find("a"); a != item.end() && a->is_number_unsigned()) {
-      auto it = pending_.find(a->get<std::uint64_t>());
-      if (it == pending_.end()) continue;
-      auto reply = std::move(it->second.reply);
-      pending_.erase(it);
-      reply(item.value("s", 0), body.is_null() ? std::string() : codec::pack(body));
+      settle(a->get<std::uint64_t>(), item.value("s", 0), body.is_null() ? std::string() : codec::pack(body));
     }
   }
 }
@@ -143,27 +139,23 @@
 }
 
 void Mail::give_up(const Json& item) {
-  auto q = item.find("q");
-  if (q == item.end()) return;
-  auto it = pending_.find(q->get<std::uint64_t>());
+  if (auto q = item.find("q"); q != item.end()) settle(q->get<std::uint64_t>(), 0, "");
+}
+
+void Mail::settle(std::uint64_t id, int status, std::string body) {
+  auto it = pending_.find(id);
   if (it == pending_.end()) return;
   auto reply = std::move(it->second.reply);
   pending_.erase(it);
-  reply(0, "");
+  reply(status, std::move(body));
 }
 
 void Mail::sweep() {
   double now = steady_now();
-  std::vector<Reply> late;
-  for (auto it = pending_.begin(); it != pending_.end();) {
-    if (it->second.deadline <= now) {
-      late.push_back(std::move(it->second.reply));
-      it = pending_.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  for (auto& reply : late) reply(0, "");
+  std::vector<std::uint64_t> late;
+  for (const auto& [id, p] : pending_)
+    if (p.deadline <= now) late.push_back(id);
+  for (auto id : late) settle(id, 0, "");
 }
 
 }  // namespace corkmux
--- a/src/mail.h
+++ b/src/mail.h
@@ -48,6 +48,8 @@
   void write(const std::string& to);
   void sweep();
   void give_up(const codec::Json& item);
+  /// The end of a request, answered or not.
+  void settle(std::uint64_t id, int status, std::string body);
   bool wanted() const { return serving_ || !pending_.empty(); }
 
   std::string label_;
--- a/src/types.h
+++ b/src/types.h
@@ -47,6 +47,12 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  /// What has to be free for it to start: of a gang all tasks, else one.
+  Resources at_once() const {
+    Resources all;
+    for (int i = 0; i < (kind == JobKind::Gang ? tasks : 1); ++i) all += need;
+    return all;
+  }
   bool allows_type(const std::string& type) const {
     return !types || std::find(types->begin(), types->end(), type) != types->end();
   }
