Gangs that are due go first and gather a zone; guarantees are kept until started, and reclaimed

Of equals the least left went first, and what had missed its first aim went last: half of the gangs of 12 and 16 waited over 80 s, a fifth over 180 s, up to 437 s, behind smaller ones that never ceased. Change: a job past 0.8 of its last start aim is due: first among equals, the earliest first. A due one-zone gang that finds no room has one zone's free places kept for it if what is missing will be free within 5 s at the rate at which the zone's places have been given back of late.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -105,7 +105,16 @@
 inline constexpr double kAcceleratorPenalty = 0.3;
 inline constexpr double kAcceleratorReserve = 0.25;
 
+// Gangs that become due gather their places.
+inline constexpr double kDueShare = 0.8;  // of the time to its last start aim, after which a job is due
+inline constexpr double kFreeingWindow =
+    10.0;  // s over which the rate is taken at which a zone's places become free
+inline constexpr double kGatherPatience =
+    5.0;  // s; what is kept idle meanwhile costs more than the gang's wait beyond
+
 // --- preemption ---
+inline constexpr double kClaimAfter =
+    0.25;  // of the guarantee's aim that a job waits before it claims its places
 inline constexpr int kPreemptorsPerPass = 4;  // jobs that may stop others in one pass; bounds its time
 inline constexpr double kSaveWorth =
     2.0;  // saves are asked for when half a checkpoint costs more than this many
--- a/src/book/cluster.cc
+++ b/src/book/cluster.cc
@@ -143,6 +143,7 @@
     }
     std::erase(m->outbox, TaskKey{job.spec.id, index});
   }
+  note_freed(it->second.zone, job.spec.need, now);
   job.active.erase(it);
   use_[job.spec.team] -= job.spec.need;
   if (job.phase[index] == TaskPhase::Active) {
--- a/src/book/cluster.h
+++ b/src/book/cluster.h
@@ -29,6 +29,7 @@
   std::vector<Team> teams;
   std::map<std::string, std::vector<double>> start_within;  // s, per class: the aims on starting, rising
   std::map<std::string, double> finish_within;              // s, per class: the tightest aim on finishing
+  double guarantee_within = 0;  // s: the aim on starting what is within a guarantee; 0: none
   /// s a holder without contact to the state service goes on answering workers, see rule_keepalive().
   double keepalive() const;
   /// Of the first form, in which a record does not say how it was cut: see docs/design.md.
@@ -49,6 +50,7 @@
   std::uint64_t fence = 0;      // absence counts only in reports that carry at least this token
   std::uint64_t after_seq = 0;  // and only beyond this sequence number, for launches in a report's answer
   double since = 0, lapse_at = 0;
+  double running_at = -1;  // when it was first seen to run; -1: not yet
   bool stop = false;
   double grace_s = 0;
 };
@@ -71,6 +73,9 @@
   std::uint64_t version = 0;  // of its record in the state service
   std::uint64_t order = 0;    // acceptance order
   bool cancelled = false, finalizing = false, draining = false;
+  /// It came within its team's guarantee and has not yet been started and left alone as a whole: it waits for
+  /// no other team (DEPLOY). Not stored: after a change of leader it counts as any other.
+  enum class Promise { Unknown, Given, None } promise = Promise::Unknown;
   bool orphaned = false;  // a job that it needs was cancelled: its own end is still to be stored
   std::unordered_set<std::string> unmet;  // jobs it awaits whose `done` is not known to be stored
   /// Its own or the highest of what needs it; and when it has to be over for the tightest deadline of these.
@@ -81,7 +86,7 @@
   bool over() const { return cancelled || orphaned || done == spec.tasks; }
   std::vector<TaskPhase> phase;
   int done = 0, queued = 0, cursor = 0, failures = 0;
-  double not_before = 0, accepted_at = 0, room_made_at = -1e9;
+  double not_before = 0, accepted_at = 0, room_made_at = -1e9, reclaimed_at = -1e9;
   std::map<int, ActiveTask> active;
   std::map<int, Shard> shards;
   std::set<std::string> failed_on;
@@ -279,9 +284,23 @@
   double weight(const Job& job, bool guaranteed) const;
   std::unordered_set<std::string> guaranteed_jobs() const;
   bool place_gang(Job& job, bool doubtful_too, double now);
+  /// Keeps a zone's free machines for a gang that is due, where the rest it needs is about to be free.
+  void gather(const Job& job, double now);
+  /// How long a job has until it misses its next start aim, and how many it has missed; none for one that has
+  /// started.
+  struct StartAim {
+    int missed = 0;
+    bool due = false;    // most of its time is over
+    double at = kNever;  // when it will be missed
+  };
+  StartAim start_aim(const Job& job, double now) const;
   int place_tasks(Job& job, int budget, double now);
   bool make_room(Job& job, const std::unordered_set<std::string>& guaranteed, double now);
-  void preempt(const TaskKey& victim, const Job& by);
+  void preempt(const TaskKey& victim, const std::string& why);
+  /// Stops what other teams run beyond their guarantees for a job within its team's, see reclaim.h.
+  bool reclaim(Job& job, const std::unordered_set<std::string>& guaranteed, double now);
+  void keep_promises(const std::unordered_set<std::string>& guaranteed, double now);
+  bool saves_when_stopped(const JobSpec& spec) const;
   std::vector<std::string> draw_zones(const JobSpec& spec, const std::vector<Machine*>& fitting, double now);
   Machine* pick(const JobSpec& spec, std::vector<Machine*>& candidates,
                 const std::unordered_map<Machine*, int>& planned, double now);
@@ -324,6 +343,14 @@
   static Shape shape(const Job& job);
   std::map<Shape, int> not_fitting_;  // of this pass: the fewest tasks at once that found no room
   std::uint64_t steps_ = 0;
+  /// CPUs and accelerators that tasks have given back in a zone of late, decaying.
+  struct Freed {
+    Resources sum;
+    double at = -1e9;
+  };
+  void note_freed(const std::string& zone, const Resources& need, double now);
+  std::map<std::string, Freed> freed_;
+  std::map<std::string, std::string> gathering_;  // of this pass: zone -> the job it is kept for
   bool want_plan_ = true, accelerators_wanted_ = false, any_silent_ = false;
   std::optional<Priority> accelerator_users_;
 };
--- a/src/book/cluster_placement.cc
+++ b/src/book/cluster_placement.cc
@@ -125,6 +125,48 @@
   if (!fresh) it->second = std::min(it->second, job.spec.tasks);
 }
 
+void Cluster::note_freed(const std::string& zone, const Resources& need, double now) {
+  Freed& f = freed_[zone];
+  double keep = std::exp(-std::max(0.0, now - f.at) / c::kFreeingWindow);
+  f.sum.cpus = keep * f.sum.cpus + need.cpus;
+  f.sum.gpus = keep * f.sum.gpus + need.gpus;
+  f.at = std::max(f.at, now);
+}
+
+/// A gang of many waits for as many places at once, and work that needs fewer takes each as it becomes free.
+/// Once it is due, one zone is kept for it if the missing places will be free soon, at the rate at which the
+/// zone's have been of late: where many tasks end each second that costs next to nothing, where few do it
+/// would idle half a zone.
+void Cluster::gather(const Job& job, double now) {
+  const JobSpec& spec = job.spec;
+  if (spec.kind != JobKind::Gang || !spec.one_zone || !job.active.empty()) return;
+  std::map<std::string, int> places;
+  for (const auto* m : fitting(job, false, now)) places[m->zone] += spec.need.times_in(m->free);
+  std::string best;
+  int most = 0;
+  for (const auto& [zone, n] : places)
+    if (n > most && !gathering_.count(zone)) best = zone, most = n;
+  auto f = freed_.find(best);
+  if (f == freed_.end()) return;
+  double decay = std::exp(-std::max(0.0, now - f->second.at) / c::kFreeingWindow) / c::kFreeingWindow;
+  bool by_gpus = spec.need.gpus > 0;
+  double rate = decay * (by_gpus ? f->second.sum.gpus : f->second.sum.cpus);
+  double missing = (spec.tasks - most) * (by_gpus ? spec.need.gpus : spec.need.cpus);
+  if (missing <= rate * c::kGatherPatience) gathering_[best] = spec.id;
+}
+
+Cluster::StartAim Cluster::start_aim(const Job& job, double now) const {
+  StartAim out;
+  auto aims = config_.start_within.find(job.spec.job_class);
+  if (aims == config_.start_within.end() || !job.active.empty() || job.done > 0) return out;
+  double waited = now - job.ready_at;
+  for (double within : aims->second) out.missed += waited > within;
+  double last = aims->second.back();
+  out.due = waited > c::kDueShare * last && waited <= last;
+  if (out.due) out.at = job.ready_at + last;
+  return out;
+}
+
 std::vector<Machine*> Cluster::fitting(const Job& job, bool doubtful_too, double now) {
   const JobSpec& spec = job.spec;
   std::string only_zone;
@@ -137,6 +179,7 @@
     if (m.size.gpus > 0) free_gpus += m.free.gpus, busy_gpus += m.size.gpus - m.free.gpus;
     if (!allowed(spec, m) || !spec.need.fits(m.free)) continue;
     if (now < m.room_until && m.room_for != spec.id) continue;
+    if (auto g = gathering_.find(m.zone); g != gathering_.end() && g->second != spec.id) continue;
     if (!only_zone.empty() && m.zone != only_zone) continue;
     m.fetch_s = fetch_time(spec, m);
     if (spec.need.gpus <= 0 && m.size.gpus > 0)
@@ -326,23 +369,17 @@
 void Cluster::plan(double now) {
   want_plan_ = false;
   not_fitting_.clear();
+  gathering_.clear();
   auto guaranteed = guaranteed_jobs();
+  keep_promises(guaranteed, now);
   auto late = [this](const Job& job, double at) {
     auto aim = config_.finish_within.find(job.spec.job_class);
     return aim != config_.finish_within.end() ? at - job.ready_at > aim->second : at > job.due_at;
   };
   auto left = [](const Job& job) { return job.queued * std::max(1.0, job.spec.estimate_s); };
-  // Start aims already missed: of equals, such a job makes way for those that can still meet theirs.
-  auto missed = [this, now](const Job& job) {
-    auto aims = config_.start_within.find(job.spec.job_class);
-    if (aims == config_.start_within.end() || !job.active.empty() || job.done > 0) return 0;
-    int n = 0;
-    for (double within : aims->second) n += now - job.ready_at > within;
-    return n;
-  };
   struct Bid {
     double weight;
-    int missed;
+    StartAim aim;
     bool late;
     double left;
     Job* job;
@@ -352,15 +389,18 @@
     if (job.queued <= 0 || !job.ready() || now < job.not_before) continue;
     bool is_late = late(job, now);
     order.push_back(
-        {weight(job, guaranteed.count(id) > 0), missed(job), is_late, is_late ? 0 : left(job), &job});
+        {weight(job, guaranteed.count(id) > 0), start_aim(job, now), is_late, is_late ? 0 : left(job), &job});
   }
   // The highest priority times size wins a machine: bids are settled in that order. Of equals, first those
-  // that can still start and end in time, and of these the one with the least left to start: that way the
-  // fewest jobs are late when there is too little room.
+  // that are about to miss a start aim, the earliest first; then those that have missed the fewest and can
+  // still end in time, and of these the one with the least left to start: that way the fewest jobs are late
+  // when there is too little room, and none waits for ever behind smaller ones.
   std::sort(order.begin(), order.end(), [](const Bid& a, const Bid& b) {
     if (a.weight != b.weight) return a.weight > b.weight;
-    return std::tie(a.missed, a.late, a.left, a.job->order) <
-           std::tie(b.missed, b.late, b.left, b.job->order);
+    if (a.aim.due != b.aim.due) return a.aim.due;
+    if (a.aim.due && a.aim.at != b.aim.at) return a.aim.at < b.aim.at;
+    return std::tie(a.aim.missed, a.late, a.left, a.job->order) <
+           std::tie(b.aim.missed, b.late, b.left, b.job->order);
   });
   accelerators_wanted_ = false;
   accelerator_users_.reset();
@@ -371,6 +411,7 @@
     accelerators_wanted_ |=
         bid.job->spec.need.gpus > 0 && within_limit(bid.job->spec.team, bid.job->spec.need);
   int budget = c::kPassBids, preemptors = 0;
+  bool claimed = false;
   // Looking for work to stop is dear; it is left out where nothing of lower priority runs.
   Priority lowest = Priority::Production;
   for (const auto& [id, job] : jobs_)
@@ -395,10 +436,20 @@
     }
     bool gang = spec.kind == JobKind::Gang;
     if (gang && !job->active.empty()) continue;
-    if (gang)
-      budget -= place_gang(*job, false, now) ? spec.tasks : 0;
-    else
+    if (gang && place_gang(*job, false, now))
+      budget -= spec.tasks;
+    else if (gang && bid.aim.due)
+      gather(*job, now);
+    else if (!gang)
       budget -= place_tasks(*job, budget, now);
+    // A guarantee is claimed once waiting alone would miss its aim; one claim a pass bounds the pass's time.
+    if (job->queued > 0 && job->promise == Job::Promise::Given && !claimed &&
+        now - job->ready_at >= c::kClaimAfter * config_.guarantee_within &&
+        now - job->reclaimed_at >= config_.gang_peer_s + c::kKeepRoom) {
+      claimed = true;
+      job->reclaimed_at = now;
+      if (reclaim(*job, guaranteed, now)) continue;
+    }
     if (job->queued == 0 || job->priority <= lowest) continue;
     if (!within_limit(spec.team, spec.at_once())) {
       auto [h, fresh] = held.try_emplace(spec.team, job->priority);
--- a/src/book/cluster_workers.cc
+++ b/src/book/cluster_workers.cc
@@ -109,6 +109,7 @@
         a->stage = Stage::Saving;
         break;
     }
+    if (a->stage == Stage::Running && a->running_at < 0) a->running_at = now;
     a->session = r.session;
     a->fence = 0;
     a->after_seq = 0;
--- /dev/null
+++ b/src/book/reclaim.h
@@ -0,0 +1,39 @@
+// Which work is stopped so that a team gets its guarantee: PROTOCOL, "Preemption", allows it for work of any
+// priority that another team runs beyond its own guarantee.
+#pragma once
+#include <optional>
+#include <vector>
+
+#include "types.h"
+
+namespace corkmux {
+
+struct ReclaimInput {
+  /// What is claimed: `tasks` places of this size, all in one zone or anywhere.
+  Resources need;
+  int tasks = 1;
+  bool one_zone = false;
+  struct Place {
+    Resources free;    // once all that is stopping already has stopped
+    int zone = 0;      // 0 and up
+    bool open = true;  // whether the claim may use it
+  };
+  std::vector<Place> places;
+  /// What can only be stopped together: a task, or a whole gang.
+  struct Unit {
+    int team = 0;              // index into `beyond`
+    double lost = 0;           // CPU seconds of work that the stop costs
+    Resources need;            // of each member
+    std::vector<int> members;  // the place of each
+  };
+  std::vector<Unit> units;
+  /// What each team runs beyond its guarantee: no more of it is stopped. Memory does not count.
+  std::vector<Resources> beyond;
+};
+
+/// The units to stop, by index: those that lose least first, and none that the claim can do without. Empty:
+/// it fits as it is. nullopt: it cannot be met within what the teams run beyond their guarantees. A pure
+/// function.
+std::optional<std::vector<int>> choose_reclaim(const ReclaimInput& input);
+
+}  // namespace corkmux
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -139,6 +139,10 @@
       aims.push_back(r.amount("within_s", true));
       std::sort(aims.begin(), aims.end());
     }
+    if (r.text("kind") == "guarantee") {
+      double within = r.amount("within_s", true);
+      s.guarantee_within = s.guarantee_within > 0 ? std::min(s.guarantee_within, within) : within;
+    }
     if (r.text("kind") != "finished") return;
     double within = r.amount("within_s", true);
     auto [it, fresh] = s.finish_within.try_emplace(r.text("class"), within);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -32,6 +32,7 @@
   std::vector<Team> teams;
   std::map<std::string, std::vector<double>> start_within;  // s, per class: the aims on starting, rising
   std::map<std::string, double> finish_within;              // s, per class: the tightest aim on finishing
+  double guarantee_within = 0;  // s: the tightest aim on starting what is within a guarantee; 0: none
   double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
   double state_rps = 0, state_write_rps = 0, value_kb = 0;
   int txn_ops = 0;
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -79,6 +79,7 @@
   config.teams = settings_.teams;
   config.start_within = settings_.start_within;
   config.finish_within = settings_.finish_within;
+  config.guarantee_within = settings_.guarantee_within;
   config.details = spdlog::should_log(spdlog::level::debug);
   r.book = std::make_unique<Cluster>(std::move(config), r.term.number, r.term.since, r.term.number);
   r.book->set_catalog(catalog_.types());
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -180,6 +180,7 @@
   EXPECT_STREQ(started(40, 2, 20, 2), "second");  // and the later one as well
   EXPECT_STREQ(started(0, 2, 0, 1), "second");    // less left to start
   EXPECT_STREQ(started(0, 2, 20, 1), "first");    // being in time goes before being small
+  EXPECT_STREQ(started(25, 2, 0, 1), "first");    // about to miss its last aim: before all that can wait
 }
 
 }  // namespace
