An ending controller that wins an election it had entered gives it back at once

Cause: read again, `abstain` kept a controller from entering elections but not from winning one under way; its grant would have blocked a successor for 3 s. Change: a win while abstaining is resigned in the same turn.

--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -90,6 +90,8 @@
                              role_ = Role::Leading;
                              ++epoch_;
                              stamp_ = codec::parse_revision(done.body);
+                             // Guards against a term that an ending controller wins: nobody would serve it.
+                             if (abstaining_) return resign(0);
                              renew_timer_.every(c::kGrantRenew, [this] { renew(); });
                              hooks_.won({term_, stamp_, done.sent_at});
                              announce(label_, term_);
