No claim for places that the claimant would not get

Cause: read again, a claim looked only at room and zone: a job spread over zones could have work stopped in the wrong one, and work without need of accelerators on machines that the ordinary path keeps from it, again every claim. Change: no claim for spread jobs; accelerator machines are closed to such claims while accelerators are wanted.

--- a/src/book/cluster_preemption.cc
+++ b/src/book/cluster_preemption.cc
@@ -181,7 +181,9 @@
 bool Cluster::reclaim(Job& job, const std::unordered_set<std::string>& guaranteed, double now) {
   const JobSpec& spec = job.spec;
   auto team = teams_.find(spec.team);
-  if (team == teams_.end() || job.queued == 0) return false;
+  // Guards against stopping work for places that the job would then not get: a job that is spread over zones
+  // needs them in the right ones, which is not looked at here.
+  if (team == teams_.end() || job.queued == 0 || spec.spread) return false;
   auto within = [](const Team& t, const Resources& use) {
     constexpr double e = 1e-6;
     bool gpus_metered = t.gpus > 0 || t.gpus_max > 0;
@@ -211,6 +213,8 @@
     place.zone = zones.try_emplace(m.zone, static_cast<int>(zones.size())).first->second;
     place.open = usable(m, now) && (now >= m.room_until || m.room_for == spec.id) && allowed(spec, m) &&
                  (!only_zone || *only_zone == m.zone);
+    // Nor does work without need of accelerators get such a machine while they are wanted, see fitting().
+    if (spec.need.gpus <= 0 && m.size.gpus > 0 && accelerators_wanted_) place.open = false;
     const int at = static_cast<int>(machines.size());
     for (const auto& key : m.tasks) {
       ++steps_;
