--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -26,25 +26,48 @@
 // --- state service ---
 inline constexpr double kGrantLife = 3.0;         // s; how long a dead leader blocks its successor
 inline constexpr double kGrantRenew = 0.75;       // s; three tries within one life
+inline constexpr double kElectionLook = 0.25;     // s between looks while nobody leads and we could not
+inline constexpr double kElectionRetry = 0.3;     // s after a try that the state service did not take
 inline constexpr double kStateTimeout = 2.0;      // s; answers take 10 ms, now and then some 100 ms
 inline constexpr double kReadTimeout = 1.5;       // s; below the 2 s a user waits for a query
 inline constexpr double kWatchWait = 20.0;        // s; long polls are cheap, dead ones must be noticed
 inline constexpr double kWatchSlack = 5.0;        // s beyond the wait before a watch counts as lost
 inline constexpr int kStateConnections = 6;       // sockets; each request takes some milliseconds
 inline constexpr double kLeaderWriteShare = 0.7;  // of write_rps; the rest is for submissions and cancels
-inline constexpr double kRetryPause = 0.15;       // s before a refused state request is tried again
-inline constexpr double kSubmitTime = 3.0;        // s a submission may take us; its user waits 5 s
-inline constexpr int kSubmitTries = 2;            // tries of a submission refused by the rate limit
+inline constexpr double kLeaderTick = 0.25;  // s between the leader's looks at leases, silence and displays
+inline constexpr double kStampPause =
+    0.01;  // s after a read of stamps or of a job's record before the next write
+inline constexpr int kLostWatches =
+    3;  // in a row without an answer: what they would bring may be too large to take
+inline constexpr double kRetryPause = 0.15;  // s before a refused state request is tried again
+inline constexpr double kSubmitTime = 3.0;   // s a submission may take us; its user waits 5 s
+inline constexpr int kSubmitTries = 2;       // tries of a submission refused by the rate limit
 inline constexpr double kRestWait = 1.0;     // s that ends of tasks may wait for changes that launches need
 inline constexpr int kForm = 2;              // of the records that this version writes, see docs/design.md
 inline constexpr int kTasksPerRecord = 256;  // tasks; a record that grows too large is split anyway
 inline constexpr std::size_t kSmallestRecord = 256;  // bytes; one task with long names still fits
 inline constexpr double kFormsEvery = 1.0;           // s between looks whether all controllers are new
-inline constexpr int kMaxPieces = 200;     // of a job record; a body of 64 KiB takes about 90 of 2 KiB
 inline constexpr int kWritesInFlight = 3;  // transactions of the leader; each takes some milliseconds
 inline constexpr int kOutcomeReads = 4;    // awaited jobs looked up at the same time, of state.rps
 inline constexpr int kListPage = 100;      // items a page; keeps one answer far below 512 KiB
 
+// --- standing still and ending ---
+inline constexpr double kStoodStill =
+    2.0;  // s between two ticks; eight times the usual, longer than any pass
+inline constexpr double kResignTime =
+    1.0;                                 // s a leader that ends waits for what is in flight; answers take ms
+inline constexpr double kEndTime = 4.0;  // s an orderly end takes at most; two requests to the state service
+inline constexpr double kSuccessorTime =
+    1.5;                                     // s an end waits for a successor to be known; elections take ms
+inline constexpr double kEndLook = 0.05;     // s between looks whether everything is settled
+inline constexpr double kResignLook = 0.02;  // s between looks whether it is
+
+// --- what the log says of services that do not answer ---
+inline constexpr double kOutagePatience =
+    2.0;                                     // s until a service that has answered before is said to be away
+inline constexpr double kOutageAgain = 5.0;  // s until it is said again; doubled each time
+inline constexpr double kOutageAgainMost = 300.0;  // s; a line in five minutes is not lost in a day's log
+
 // --- workers ---
 inline constexpr double kOrdersTimeout = 3.0;  // s; a machine answers within milliseconds or hangs
 inline constexpr double kSilentReports = 2.6;  // report intervals without a word: place nothing there
--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -30,7 +30,10 @@
     ev_idle_init(&idle_, &Loop::drain);
     idle_.data = this;
   }
-  ~Loop() { ev_loop_destroy(loop_); }
+  ~Loop() {
+    queue_.clear();  // what waits in messages may own watchers, which need the loop
+    ev_loop_destroy(loop_);
+  }
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
@@ -90,6 +93,24 @@
   std::function<void()> fn_;
 };
 
+class Signal {
+ public:
+  Signal(Loop& loop, int number, std::function<void()> fn) : loop_(loop), fn_(std::move(fn)) {
+    ev_signal_init(&signal_, &Signal::caught, number);
+    signal_.data = this;
+    ev_signal_start(loop_.raw(), &signal_);
+  }
+  ~Signal() { ev_signal_stop(loop_.raw(), &signal_); }
+  Signal(const Signal&) = delete;
+  Signal& operator=(const Signal&) = delete;
+
+ private:
+  static void caught(struct ev_loop*, ev_signal* signal, int) { static_cast<Signal*>(signal->data)->fn_(); }
+  Loop& loop_;
+  ev_signal signal_{};
+  std::function<void()> fn_;
+};
+
 class Io {
  public:
   Io(Loop& loop, int fd, std::function<void(int)> fn) : loop_(loop), fn_(std::move(fn)) {
--- a/src/book/cluster.cc
+++ b/src/book/cluster.cc
@@ -298,6 +298,15 @@
   all_gone(*m, "was silent past its lease", now);
 }
 
+void Cluster::stood_still(double now) {
+  listened_since_ = now;
+  // Workers may have found another controller meanwhile, and come back one by one.
+  for (const auto& zone : config_.zones) cut_until_[zone] = std::max(cut_until_[zone], now + config_.lease_s);
+  for (auto& [id, job] : jobs_)
+    for (auto& [index, a] : job.active)
+      a.lapse_at = std::max(a.lapse_at, now + config_.report_s * c::kDeadReports);
+}
+
 void Cluster::tick(double now) {
   if (!jobs_.empty()) last_job_at_ = now;
   std::map<std::string, std::pair<int, int>> silent;  // zone -> silent, all
@@ -319,7 +328,7 @@
       to_order_.insert(name);
     }
     if (m.up && !m.doomed && now - m.last_heard > c::kDeadReports * config_.report_s &&
-        now - started_ > c::kDeadReports * config_.report_s) {
+        now - std::max(started_, listened_since_) > c::kDeadReports * config_.report_s) {
       // One or two silent machines are broken; many at once mean that the network is, and they come back one
       // by one. Nor is one broken that a keeper answers: its tasks run on beyond a cut.
       if (now >= cut_until_[m.zone] && now >= m.kept_until) {
@@ -391,7 +400,7 @@
     }
     const auto* t = type(m.type);
     if (!m.up && !m.doomed && t && now - m.rented_at > c::kBootLate * t->boot_s + c::kBootGrace &&
-        now - started_ > c::kDeadReports * config_.report_s) {
+        now - std::max(started_, listened_since_) > c::kDeadReports * config_.report_s) {
       notes_.push_back("machine " + l.name + " never came up: returned");
       doom(l.name, now);
     }
--- a/src/book/cluster.h
+++ b/src/book/cluster.h
@@ -171,6 +171,8 @@
 
   // --- time and placement ---
   void tick(double now);
+  /// The process stood still until now: machines were not silent, we did not listen.
+  void stood_still(double now);
   /// Machines with tasks whose leases have run out, unless a keeper has answered them: to be asked before the
   /// tasks count as gone.
   std::vector<std::string> lapsed(double now) const;
@@ -292,6 +294,7 @@
   ClusterConfig config_;
   std::uint64_t term_, counter_ = 0;
   double started_;
+  double listened_since_ = -1e9;  // silence before it is our own
   std::mt19937_64 rng_;
   std::vector<MachineType> types_;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -6,8 +6,10 @@
 
 Controller::Controller(Loop& loop, const Settings& settings, const OperatorChoices& choices)
     : own_label_(settings.label),
+      alone_(settings.peers.empty()),
       state_(loop, settings.state),
       cloud_(loop, settings.cloud, 3, 64),
+      cloud_outage_("the cloud's interface", settings.cloud),
       catalog_(loop, state_, cloud_),
       leader_(loop, settings, choices, state_, cloud_, catalog_,
               {[this](std::string label, std::uint64_t term) {
@@ -37,7 +39,10 @@
             [this](std::string body, Mail::Reply reply) {
               gateway_.relayed(body, std::move(reply), Leader::Way::Mail);
             }),
-      gateway_(loop, settings, state_, catalog_, leader_, peers_, keeper_, mail_) {}
+      gateway_(loop, settings, state_, catalog_, leader_, peers_, keeper_, mail_),
+      stop_timer_(loop) {
+  cloud_.observe([this](const http::Result& r) { log_outcome(cloud_outage_, r); });
+}
 
 void Controller::start() {
   catalog_.start();
@@ -46,4 +51,18 @@
   gateway_.start();
 }
 
+void Controller::stop(std::function<void()> done) {
+  gateway_.close();
+  leader_.resign([this] { resigned_ = true; });
+  settle(steady_now(), std::move(done));
+}
+
+void Controller::settle(double since, std::function<void()> done) {
+  // Workers that ask meanwhile are sent to the successor; without one in time they find it themselves.
+  double now = steady_now();
+  bool told = alone_ || gateway_.successor_known() || now - since > constants::kSuccessorTime;
+  if ((resigned_ && told && !gateway_.busy()) || now - since >= constants::kEndTime) return done();
+  stop_timer_.once(constants::kEndLook, [this, since, done = std::move(done)] { settle(since, done); });
+}
+
 }  // namespace corkmux
--- a/src/controller/gateway.cc
+++ b/src/controller/gateway.cc
@@ -36,6 +36,11 @@
   });
 }
 
+void Gateway::close() {
+  closing_ = true;
+  server_.close();
+}
+
 bool Gateway::state_ok() const { return steady_now() - state_.last_contact() < c::kStateLost; }
 
 void Gateway::answer(Id id, int status, const Json& body) {
@@ -47,6 +52,9 @@
 
 void Gateway::serve(Id id, http::Request request) {
   auto routed = codec::route(request.method, request.target);
+  // Of users only; workers are still told where to go.
+  if (closing_ && routed.route != codec::Route::Report)
+    return unavailable(id, "this controller is ending: try another");
   switch (routed.route) {
     case codec::Route::None:
       return answer(id, 404, codec::error_to_wire("no such path"));
@@ -206,10 +214,10 @@
 /// Pieces that are there already stay, so a submission that is tried again gets further each time.
 void Gateway::store_in_pieces(Id id, std::shared_ptr<JobSpec> job, double until) {
   std::string prefix = kJobs + job->id + "/";
-  state_.list(prefix, "", c::kMaxPieces, [this, id, job, until, prefix](StateReply reply) {
-    if (!reply.ok()) return unavailable(id, "the state service cannot be read now");
-    std::set<std::string> there;
-    for (const auto& kv : codec::parse_page(reply.body).items) there.insert(kv.key);
+  auto there = std::make_shared<std::set<std::string>>();
+  auto each = [there](const codec::KeyValue& kv) { there->insert(kv.key); };
+  state_.read_all(prefix, "", each, [this, id, job, until, prefix, there](const ReadEnd& end) {
+    if (!end.ok()) return unavailable(id, "the state service cannot be read now");
     // In plain ASCII; as a JSON text of its own each byte takes at most two.
     std::string text = codec::job_to_wire(*job).dump(-1, ' ', true);
     std::size_t size = record_room() * 2 / 5;
@@ -217,7 +225,7 @@
     std::vector<codec::Write> writes;
     for (std::size_t at = 0; at < text.size(); at += size, ++n) {
       auto key = prefix + std::to_string(n);
-      if (static_cast<int>(writes.size()) < settings_.next.txn_ops && !there.count(key))
+      if (static_cast<int>(writes.size()) < settings_.next.txn_ops && !there->count(key))
         writes.push_back({key, Json{{"x", text.substr(at, size)}}, 0});
     }
     std::vector<codec::Condition> conditions{{kJobs + job->id, 0}, {kFinals + job->id, 0}};
--- a/src/controller/gateway.h
+++ b/src/controller/gateway.h
@@ -26,6 +26,11 @@
   /// A report that a peer passed on because its worker could not reach us.
   void relayed(const std::string& body, std::function<void(int, std::string)> reply, Leader::Way way);
   void start();
+  /// Takes no new connections and no new work; what is open is answered.
+  void close();
+  bool busy() const { return server_.busy(); }
+  /// Whether workers can be sent to another leader.
+  bool successor_known() const { return !leader_label_.empty() && leader_label_ != settings_.label; }
   bool state_ok() const;
   int port() const { return server_.port(); }
 
@@ -61,7 +66,7 @@
   Keeper& keeper_;
   Mail& mail_;
   Timer probe_;
-  bool probing_ = false;
+  bool probing_ = false, closing_ = false;
   std::string leader_label_;
   std::unordered_map<std::string, std::pair<std::string, int>> finals_;
   std::deque<std::string> final_order_;
--- a/src/controller/keeper.cc
+++ b/src/controller/keeper.cc
@@ -25,14 +25,6 @@
       timer_(loop),
       read_timer_(loop) {}
 
-std::vector<std::string> Keeper::machines_in(const Json& record) {
-  std::vector<std::string> out;
-  if (auto m = record.find("m"); m != record.end() && m->is_array())
-    for (const auto& name : *m)
-      if (name.is_string()) out.push_back(name.get<std::string>());
-  return out;
-}
-
 bool Keeper::entitled(const std::string& machine) const {
   return written_.count(machine) && steady_now() - written_at_ < span_ - c::kProofMargin;
 }
@@ -126,44 +118,39 @@
   if (all_known(a)) return answer(report, reply);
   asking_.push_back(std::move(a));
   if (!read_timer_.active() && !reading_)
-    read_timer_.once(reading_since_ + c::kJobReads - steady_now(), [this] { read_jobs(""); });
+    read_timer_.once(reading_since_ + c::kJobReads - steady_now(), [this] { read_jobs(); });
 }
 
 /// All unfinished jobs in a few pages: a zone's workers run tasks of most of them, so that asking for each
 /// would take far more requests.
-void Keeper::read_jobs(const std::string& after) {
-  if (after.empty()) {
-    reading_ = true;
-    reading_since_ = steady_now();
-    found_.clear();
-    cancelled_.clear();
-  }
-  state_.list(kJobs, after, c::kListPage, [this](StateReply r) {
-    if (!r.ok()) {
-      reading_ = false;
+void Keeper::read_jobs() {
+  reading_ = true;
+  reading_since_ = steady_now();
+  found_.clear();
+  cancelled_.clear();
+  auto each = [this](const codec::KeyValue& kv) {
+    auto id = kv.key.substr(kJobs.size());
+    id.resize(std::min(id.size(), id.find('/')));  // a piece or mark of a job's record counts for the job
+    (kv.value.value("c", 0) ? cancelled_ : found_).insert(std::move(id));
+  };
+  state_.read_all(kJobs, "", each, [this](const ReadEnd& end) {
+    reading_ = false;
+    if (!end.ok()) {
       // In time for the worker to try elsewhere; the others hear of the next read.
       std::vector<Asking> rest;
       for (auto& a : std::exchange(asking_, {})) {
-        if (r.status != StateStatus::Refused || steady_now() - a.since > c::kReadTimeout)
+        if (end.status != StateStatus::Refused || steady_now() - a.since > c::kReadTimeout)
           a.reply(503, "");
         else
           rest.push_back(std::move(a));
       }
       asking_ = std::move(rest);
-      if (!asking_.empty()) read_timer_.once(c::kRetryPause, [this] { read_jobs(""); });
+      if (!asking_.empty()) read_timer_.once(c::kRetryPause, [this] { read_jobs(); });
       return;
     }
-    auto page = codec::parse_page(r.body);
-    for (const auto& kv : page.items) {
-      auto id = kv.key.substr(kJobs.size());
-      id.resize(std::min(id.size(), id.find('/')));  // a piece or mark of a job's record counts for the job
-      (kv.value.value("c", 0) ? cancelled_ : found_).insert(std::move(id));
-    }
-    if (page.more && !page.items.empty()) return read_jobs(page.items.back().key);
     for (const auto& id : cancelled_) found_.erase(id);
     jobs_ = std::move(found_);
     read_at_ = reading_since_;
-    reading_ = false;
     for (auto& a : std::exchange(asking_, {})) {
       if (all_known(a))
         answer(a.report, a.reply);
@@ -171,7 +158,7 @@
         asking_.push_back(std::move(a));
     }
     if (!asking_.empty())
-      read_timer_.once(reading_since_ + c::kJobReads - steady_now(), [this] { read_jobs(""); });
+      read_timer_.once(reading_since_ + c::kJobReads - steady_now(), [this] { read_jobs(); });
   });
 }
 
--- a/src/controller/keeper.h
+++ b/src/controller/keeper.h
@@ -12,15 +12,13 @@
 #include <unordered_set>
 #include <vector>
 
+#include "keeper_record.h"
 #include "settings.h"
 #include "state_client.h"
 #include "store_keys.h"
 
 namespace corkmux {
 
-/// Seconds for which a keeper's record entitles it to answer.
-inline double keeper_span(double lease_s) { return lease_s / 2; }
-
 class Keeper : public Actor<Keeper> {
  public:
   using Reply = std::function<void(int status, std::string body)>;
@@ -28,7 +26,6 @@
   void keep(Report report, Reply reply);
   /// The worker has found the leader again.
   void release(const std::string& machine);
-  static std::vector<std::string> machines_in(const codec::Json& record);
 
  private:
   struct Asking {
@@ -40,7 +37,7 @@
   /// Answers once the report's tasks are known to be of unfinished jobs, or not to be.
   void check_jobs(const Report& report, const Reply& reply);
   bool all_known(const Asking& a) const;
-  void read_jobs(const std::string& after);
+  void read_jobs();
   void answer(const Report& report, const Reply& reply);
   bool entitled(const std::string& machine) const;
   StateClient& state_;
--- a/src/controller/mail.cc
+++ b/src/controller/mail.cc
@@ -46,9 +46,12 @@
 
 /// Who reads the brief form: what a controller has once said of itself stays true.
 void Mail::learn_forms() {
-  state_.list(kForms, "", c::kListPage, [this](StateReply reply) {
-    if (reply.ok()) brief_.merge(readers_of_our_form(reply.body));
-  });
+  state_.read_all(
+      kForms, "",
+      [this](const codec::KeyValue& kv) {
+        if (auto label = reader_of_our_form(kv)) brief_.insert(*label);
+      },
+      [](const ReadEnd&) {});
 }
 
 void Mail::listen() {
--- /dev/null
+++ b/src/leader/cloud_fleet.cc
@@ -0,0 +1,136 @@
+#include "cloud_fleet.h"
+
+#include <spdlog/spdlog.h>
+
+#include "codec.h"
+#include "constants.h"
+
+namespace corkmux {
+namespace c = constants;
+
+CloudFleet::CloudFleet(Loop& loop, const Settings& settings, const OperatorChoices& choices,
+                       http::Client& cloud, Term& term, Cluster& book, TermHooks hooks,
+                       std::function<void(const std::string&)> inspect)
+    : Actor(loop),
+      settings_(settings),
+      choices_(choices),
+      cloud_(cloud),
+      term_(term),
+      book_(book),
+      hooks_(std::move(hooks)),
+      inspect_(std::move(inspect)),
+      timer_(loop),
+      rent_soon_(loop) {}
+
+void CloudFleet::start() {
+  timer_.every(c::kFleetTick, [this] { tick(); });
+  list("");
+}
+
+void CloudFleet::tick() {
+  // Guards against a process that stood still and does not know yet whether it still leads: what it holds for
+  // idle or silent may be at work under another leader, and the cloud asks for no stamp.
+  if (term_.over() || term_.resigning || !term_.awake()) return;
+  return_machines();
+  if (steady_now() - last_list_ > c::kListEvery) list("");
+  rent_machines();
+}
+
+void CloudFleet::rent_machines() {
+  double now = steady_now();
+  if (term_.over() || term_.resigning || !term_.awake()) return;
+  if (now - term_.since < 1.25 * settings_.report_s) return;  // first hear from what is there
+  auto plan = plan_fleet(book_, choices_, refused_, now);
+  int n = 0;
+  for (const auto& [key, request] : renting_) {
+    if (in_flight_.count(key)) continue;
+    rent({std::get<0>(key), std::get<1>(key), std::get<2>(key), request.second});
+    if (++n >= c::kRentsAtOnce) return;
+  }
+  for (const auto& wish : plan.rent) {
+    if (renting_.count(wish.key())) continue;
+    rent(wish);
+    if (++n >= c::kRentsAtOnce) break;  // the cloud's rate is shared with lists and returns
+  }
+  for (const auto& name : plan.give_back) {
+    spdlog::info("machine {} is idle beyond the headroom: returned", name);
+    book_.doom(name, now);
+  }
+}
+
+void CloudFleet::rent(const RentWish& wish) {
+  auto [it, fresh] = renting_.try_emplace(wish.key());
+  // A request without an answer is repeated under its name, so that nothing is rented twice.
+  if (fresh)
+    it->second = {"r-" + std::to_string(term_.number) + "-" + std::to_string(++requests_), wish.count};
+  auto [request, count] = it->second;
+  in_flight_.insert(wish.key());
+  cloud_.request("POST", codec::kRentPath,
+                 codec::pack(codec::rent_request(request, wish.type, wish.zone, wish.spot, count)),
+                 c::kCloudTimeout, term_.guard([this, wish, count](http::Result r) {
+                   double now = steady_now();
+                   in_flight_.erase(wish.key());
+                   rent_soon_.once(0.05, [this] { rent_machines(); });
+                   auto body = codec::unpack(r.body);
+                   if (r.ok() && body) {
+                     auto names = codec::parse_rented(*body);
+                     renting_.erase(wish.key());
+                     for (const auto& name : names) book_.rented(name, wish.type, wish.zone, wish.spot, now);
+                     if (static_cast<int>(names.size()) < count)
+                       refused_[wish.key()] = now + c::kNoCapacityPause;
+                     spdlog::info("rented {} {} machines in {}{}", names.size(), wish.type, wish.zone,
+                                  wish.spot ? ", spot" : "");
+                   } else if (r.status == 503 || r.status == 400) {
+                     renting_.erase(wish.key());
+                     bool full = body && codec::is_no_capacity(*body);
+                     refused_[wish.key()] = now + (full ? c::kNoCapacityPause : 2.0);
+                   } else if (r.status == 429) {
+                     renting_.erase(wish.key());
+                   }
+                 }));
+}
+
+void CloudFleet::return_machines() {
+  if (deleting_) return;
+  auto names = book_.doomed();
+  if (names.empty()) return;
+  if (names.size() > c::kMaxDelete) names.resize(c::kMaxDelete);
+  deleting_ = true;
+  cloud_.request("POST", codec::kDeletePath, codec::pack(codec::delete_request(names)), c::kCloudTimeout,
+                 term_.guard([this, names](http::Result r) {
+                   deleting_ = false;
+                   if (r.ok()) book_.deleted(names, steady_now());
+                   hooks_.changed();
+                 }));
+}
+
+void CloudFleet::list(const std::string& after) {
+  if (after.empty()) {
+    if (listing_) return;
+    listing_ = true;
+    last_list_ = steady_now();
+  }
+  cloud_.request("GET", codec::list_path(after, 200), "", c::kCloudTimeout,
+                 term_.guard([this](http::Result r) {
+                   double now = steady_now();
+                   auto body = r.ok() ? codec::unpack(r.body) : std::nullopt;
+                   listing_ = false;
+                   if (!body) return;
+                   auto page = codec::parse_machines(*body);
+                   book_.listed(page.machines, now);
+                   // After a change of leader the machines are looked up at once, before their workers have
+                   // found us.
+                   if (now - term_.since < settings_.lease_s)
+                     for (const auto& l : page.machines)
+                       if (const Machine* m = book_.machine(l.name);
+                           m && !m->up && !m->doomed && l.phase == ListedMachine::Phase::Running)
+                         inspect_(l.name);
+                   if (page.more && !page.machines.empty()) {
+                     listing_ = true;
+                     list(page.machines.back().name);
+                   }
+                   hooks_.changed();
+                 }));
+}
+
+}  // namespace corkmux
--- /dev/null
+++ b/src/leader/cloud_fleet.h
@@ -0,0 +1,50 @@
+// Rents, lists and returns machines.
+//
+// Owns the term's unsettled requests to the cloud. How many machines there should be is plan_fleet()'s to
+// say, and which are to be returned the book's.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include "cluster.h"
+#include "fleet.h"
+#include "http.h"
+#include "settings.h"
+#include "term.h"
+
+namespace corkmux {
+
+class CloudFleet : public Actor<CloudFleet> {
+ public:
+  /// `inspect`: asks a worker for its report.
+  CloudFleet(Loop& loop, const Settings& settings, const OperatorChoices& choices, http::Client& cloud,
+             Term& term, Cluster& book, TermHooks hooks,
+             std::function<void(const std::string& machine)> inspect);
+  void start();
+
+ private:
+  using Kind = std::tuple<std::string, std::string, bool>;  // type, zone, spot
+  void tick();
+  void rent_machines();
+  void rent(const RentWish& wish);
+  void list(const std::string& after);
+  void return_machines();
+  Settings settings_;
+  OperatorChoices choices_;
+  http::Client& cloud_;
+  Term& term_;
+  Cluster& book_;
+  TermHooks hooks_;
+  std::function<void(const std::string&)> inspect_;
+  bool deleting_ = false, listing_ = false;
+  double last_list_ = -1e9;
+  std::map<Kind, double> refused_;                       // until when not to ask again
+  std::map<Kind, std::pair<std::string, int>> renting_;  // unsettled requests: name, count
+  std::set<Kind> in_flight_;
+  int requests_ = 0;
+  Timer timer_, rent_soon_;
+};
+
+}  // namespace corkmux
--- /dev/null
+++ b/src/leader/leader.cc
@@ -0,0 +1,309 @@
+#include "leader.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.h"
+
+namespace corkmux {
+namespace c = constants;
+
+Leader::Leader(Loop& loop, const Settings& settings, const OperatorChoices& choices, StateClient& state,
+               http::Client& cloud, Catalog& catalog, Hooks hooks)
+    : Actor(loop),
+      settings_(settings),
+      choices_(choices),
+      state_(state),
+      cloud_(cloud),
+      catalog_(catalog),
+      hooks_(std::move(hooks)),
+      election_(loop, settings.label, state,
+                {[this] { return !catalog_.types().empty(); }, [this](const Election::Won& w) { won(w); },
+                 [this](const char* why) { end(why); },
+                 [this](double sent_at) {
+                   if (reign_) reign_->term.confirmed(sent_at);
+                 },
+                 [this](std::string label, std::uint64_t term) { hooks_.leader_changed(label, term); }}),
+      membership_(loop, settings, state),
+      tick_timer_(loop),
+      plan_timer_(loop),
+      retry_timer_(loop),
+      resign_timer_(loop) {
+  catalog_.on_change([this](const std::vector<MachineType>& types) {
+    if (reign_ && reign_->book) reign_->book->set_catalog(types);
+    election_.retry();
+  });
+}
+Leader::~Leader() = default;
+
+void Leader::start() {
+  membership_.declare();
+  election_.start();
+}
+
+// ---------------------------------------------------------------- a term begins and ends
+
+void Leader::won(const Election::Won& w) {
+  spdlog::info("leading under term {}", w.term);
+  reign_ = std::make_unique<Reign>();
+  Term& term = reign_->term;
+  term.number = w.term;
+  term.stamp = w.stamp;
+  term.since = reign_->last_report = reign_->last_tick = steady_now();
+  term.confirmed(w.confirmed_at);
+  reign_->hooks = {term.guard([this] { react(); }), term.guard([this](const char* why) { end(why); }),
+                   term.guard([this](const char* why) { all_are_new(why); })};
+  load();
+}
+
+void Leader::load() {
+  membership_.read(reign_->term.guard([this](std::optional<Membership::Forms> forms) {
+    if (!forms) return retry_timer_.once(c::kRetryPause, reign_->term.guard([this] { load(); }));
+    build(forms->first_cut, forms->all_new);
+  }));
+}
+
+void Leader::build(int first_cut, bool all_new) {
+  Reign& r = *reign_;
+  ClusterConfig config;
+  config.report_s = settings_.report_s;
+  config.lease_s = settings_.lease_s;
+  config.gang_wait_s = settings_.gang_wait_s;
+  config.gang_peer_s = settings_.gang_peer_s;
+  config.cancel_s = settings_.cancel_s;
+  config.value_kb = settings_.value_kb;
+  config.record_kb = settings_.next.value_kb;
+  config.first_form_cut = first_cut;
+  config.zones = settings_.zones;
+  config.teams = settings_.teams;
+  config.start_within = settings_.start_within;
+  config.finish_within = settings_.finish_within;
+  config.details = spdlog::should_log(spdlog::level::debug);
+  r.book = std::make_unique<Cluster>(std::move(config), r.term.number, r.term.since, r.term.number);
+  r.book->set_catalog(catalog_.types());
+  if (all_new) all_are_new("each has said so");
+  r.feed = std::make_unique<JobFeed>(
+      loop_, state_, r.term, *r.book, r.hooks,
+      r.term.guard([this](const std::string& id) { reign_->writer->vanished(id); }));
+  r.writer =
+      std::make_unique<StoreWriter>(loop_, settings_, state_, r.term, *r.book, *r.feed, r.hooks,
+                                    r.term.guard([this](codec::JobView v) { hooks_.views({std::move(v)}); }));
+  r.orders = std::make_unique<WorkerOrders>(loop_, r.term, *r.book, r.hooks);
+  r.fleet = std::make_unique<CloudFleet>(
+      loop_, settings_, choices_, cloud_, r.term, *r.book, r.hooks,
+      r.term.guard([this](const std::string& machine) { reign_->orders->inspect(machine); }));
+  r.leases = std::make_unique<LeaseWatch>(loop_, settings_, state_, r.term, *r.book, r.hooks);
+  r.loader = std::make_unique<Loader>(
+      loop_, state_, r.term, *r.book, *r.feed,
+      Loader::Hooks{r.term.guard([this](std::vector<std::string> garbage) { lead(std::move(garbage)); }),
+                    r.term.guard([this](const std::string& key) {
+                      spdlog::error("{} has a form that this version does not read", key);
+                      give_up("a newer version's records", settings_.lease_s);
+                    })});
+  r.loader->start();
+}
+
+void Leader::lead(std::vector<std::string> garbage) {
+  Reign& r = *reign_;
+  r.leading = true;
+  r.last_tick = steady_now();
+  spdlog::info("{} jobs loaded in {:.0f} ms", r.book->jobs().size(), 1e3 * (steady_now() - r.term.since));
+  r.writer->remove_later(std::move(garbage));
+  tick_timer_.every(c::kLeaderTick, [this] { tick(); });
+  r.feed->follow();
+  r.fleet->start();
+  for (auto& p : std::exchange(r.parked, {})) handle_report(p.report, p.way, p.reply);
+  react();
+}
+
+void Leader::end(const char* why) {
+  if (!reign_) return;
+  spdlog::warn("no longer leading: {}", why);
+  for (auto* t : {&tick_timer_, &plan_timer_, &retry_timer_}) t->stop();
+  reign_->term.end();
+  // Its actors may be the ones that speak: they are freed in a later turn.
+  std::shared_ptr<Reign> over(std::move(reign_));
+  loop_.post([over] {});
+  for (auto& p : std::exchange(over->parked, {})) p.reply(503, "");
+  election_.step_down();
+}
+
+/// Makes way for another leader, which is given the time to be chosen.
+void Leader::give_up(const char* why, double pause_s) {
+  election_.resign(pause_s);
+  end(why);
+}
+
+void Leader::newer_term(std::uint64_t term) {
+  if (reign_ && term > reign_->term.number) end("a peer knows a newer leader");
+}
+
+void Leader::all_are_new(const char* why) {
+  if (reign_->book->second_form()) return;
+  spdlog::info("all controllers read the second form of records: {}", why);
+  reign_->book->use_second_form();
+}
+
+void Leader::resign(std::function<void()> done) {
+  election_.abstain();
+  if (!leading()) {
+    // A load is not worth waiting for: nothing has been written under the term.
+    if (reign_) give_up("an orderly end", 0);
+    return done();
+  }
+  reign_->term.resigning = true;
+  finish_resigning(steady_now() + c::kResignTime, std::move(done));
+}
+
+void Leader::finish_resigning(double until, std::function<void()> done) {
+  if (!reign_) return done();
+  if (steady_now() < until && !(reign_->writer->idle() && reign_->orders->idle()))
+    return resign_timer_.once(c::kResignLook,
+                              [this, until, done = std::move(done)] { finish_resigning(until, done); });
+  // What is unanswered now is shut out: writes by the removal of the record that they are conditioned on,
+  // orders by the successor's higher tokens, as after a crash.
+  election_.resign(0, std::move(done));
+  end("an orderly end");
+}
+
+// ---------------------------------------------------------------- what others say
+
+void Leader::cancelled(const std::vector<std::string>& jobs) {
+  if (!leading()) return;
+  Cluster& book = *reign_->book;
+  for (const auto& id : jobs)
+    if (Job* job = book.job(id); job && !job->cancelled)
+      book.put_job(JobSpec(job->spec), job->version, true, steady_now());
+  react();
+}
+
+void Leader::peers_heard(double asked_at, double youngest) {
+  if (leading() && youngest < reign_->term.contact) reign_->vouched = std::max(reign_->vouched, asked_at);
+}
+
+void Leader::report(Report r, Way way, ReportReply reply) {
+  if (!reign_) return reply(503, "");
+  if (leading()) return handle_report(r, way, reply);
+  if (reign_->parked.size() >= c::kParkedReports) return reply(503, "");
+  reign_->parked.push_back({std::move(r), way, std::move(reply)});
+}
+
+void Leader::handle_report(const Report& r, Way way, const ReportReply& reply) {
+  double now = steady_now();
+  Cluster& book = *reign_->book;
+  // Mail says nothing of whether workers reach us, see check_reach().
+  if (way == Way::Direct) reign_->last_report = now;
+  // Without word from the state service we may have been replaced, and cancels go unseen: workers are kept
+  // alive only as long as a cancel can still be met.
+  if (now - std::max(reign_->term.contact, reign_->vouched) > book.config().keepalive())
+    return reply(503, "");
+  if (spdlog::should_log(spdlog::level::debug) && !book.machine(r.machine))
+    spdlog::debug("machine {} reports for the first time: {} in {}", r.machine, r.type, r.zone);
+  // Guards against orders into a cut: each would wait in vain while the launches could go with this answer.
+  if (way == Way::Mail) book.beyond_reach(r.machine, now);
+  auto result = book.on_report(r, Cluster::Channel::Report, now);
+  if (result.superseded) {
+    reply(503, "");
+    return election_.verify();
+  }
+  book.answered(r.machine, now);
+  reply(200, codec::pack(codec::commands_to_wire(result.token, result.commands, std::nullopt)));
+  react();
+}
+
+// ---------------------------------------------------------------- what follows
+
+void Leader::react() {
+  if (!leading()) return;
+  Reign& r = *reign_;
+  for (const auto& note : r.book->take_notes()) spdlog::info("{}", note);
+  for (const auto& detail : r.book->take_details()) spdlog::debug("{}", detail);
+  if (!r.book->unknown().empty()) r.feed->look_up_awaited();
+  r.orders->flush();
+  r.writer->pump();
+  if (r.book->want_plan() && !plan_timer_.active() && !r.term.resigning) {
+    double wait = std::max(0.005, r.last_plan + c::kPassPause - steady_now());
+    plan_timer_.once(wait, [this] { run_plan(); });
+  }
+}
+
+void Leader::run_plan() {
+  if (!leading() || reign_->term.resigning) return;
+  double now = reign_->last_plan = steady_now();
+  // Without the state service nothing can be started; bids would only pile up.
+  if (reign_->term.fresh(now)) reign_->book->plan(now);
+  spdlog::debug("placed in {:.1f} ms", 1e3 * (steady_now() - now));
+  react();
+}
+
+// ---------------------------------------------------------------- time
+
+void Leader::tick() {
+  if (!leading()) return;
+  Reign& r = *reign_;
+  double now = steady_now();
+  // Guards against a process that stood still while its clocks ran on: the silence that it finds is its own.
+  if (now - r.last_tick > c::kStoodStill) {
+    spdlog::warn(
+        "stood still for {:.1f} s: nothing is judged by time until workers and the state service spoke",
+        now - r.last_tick);
+    r.term.woke_at = now;
+    r.last_report = now;
+    r.book->stood_still(now);
+  }
+  r.last_tick = now;
+  bool away = !r.term.fresh(now);
+  if (away != r.state_away) {
+    r.state_away = away;
+    spdlog::warn(away ? "the state service is away: tasks are kept alive, nothing new is started"
+                      : "the state service is back");
+  }
+  ask_forms();
+  r.book->tick(now);
+  r.orders->sweep();
+  push_views();
+  r.leases->tick();
+  check_reach();
+  react();
+}
+
+void Leader::ask_forms() {
+  Reign& r = *reign_;
+  double now = steady_now();
+  if (r.book->second_form() || r.asking_forms || now - r.forms_asked_at <= c::kFormsEvery) return;
+  r.asking_forms = true;
+  r.forms_asked_at = now;
+  membership_.read(r.term.guard([this](std::optional<Membership::Forms> forms) {
+    reign_->asking_forms = false;
+    if (forms && forms->all_new) all_are_new("each has said so");
+  }));
+}
+
+void Leader::check_reach() {
+  // Guards against a leader that has the state service but no worker: with several machines up, no report at
+  // all for much longer than an interval means that the network to us is cut. Another must lead before the
+  // workers' leases run out. A new leader gives the workers time to find it first.
+  Reign& r = *reign_;
+  double now = steady_now();
+  double patience = c::kUnheardReports * settings_.report_s + 1;
+  double since = std::max(r.last_report, r.term.since + c::kOrdersTimeout);
+  if (now - since < patience || !r.term.fresh(now) || r.term.resigning) return;
+  int up = 0;
+  for (const auto& [name, m] : r.book->machines()) up += m.up && !m.doomed;
+  if (up < c::kUnheardMachines) return;
+  give_up("no worker reaches us", settings_.lease_s / 2);
+}
+
+void Leader::push_views() {
+  std::vector<codec::JobView> views;
+  Cluster& book = *reign_->book;
+  for (const auto& id : book.take_changed())
+    if (const Job* job = book.job(id)) {
+      int running = book.running(*job);
+      views.push_back({id, running ? "running" : "queued", job->done, running, book.reason(*job)});
+    }
+  if (!views.empty()) hooks_.views(std::move(views));
+}
+
+}  // namespace corkmux
--- /dev/null
+++ b/src/leader/store_writer.cc
@@ -0,0 +1,218 @@
+#include "store_writer.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.h"
+#include "store_keys.h"
+
+namespace corkmux {
+namespace c = constants;
+
+StoreWriter::StoreWriter(Loop& loop, const Settings& settings, StateClient& state, Term& term, Cluster& book,
+                         JobFeed& feed, TermHooks hooks, std::function<void(codec::JobView)> ended)
+    : Actor(loop),
+      settings_(settings),
+      state_(state),
+      term_(term),
+      book_(book),
+      feed_(feed),
+      hooks_(std::move(hooks)),
+      ended_(std::move(ended)),
+      // Smaller transactions and records than were allowed before the upgrade are allowed then as well.
+      txn_ops_(settings.next.txn_ops),
+      allowance_(settings.state_write_rps * c::kLeaderWriteShare),
+      allowance_at_(steady_now()),
+      timer_(loop) {}
+
+double StoreWriter::rate() const {
+  return (book_.second_form() ? settings_.next.write_rps : settings_.state_write_rps) * c::kLeaderWriteShare;
+}
+
+void StoreWriter::pump_after(double pause_s) {
+  timer_.once(pause_s, [this] { pump(); });
+}
+
+void StoreWriter::pump() {
+  double now = steady_now();
+  allowance_ = std::min(rate(), allowance_ + (now - allowance_at_) * rate());
+  allowance_at_ = now;
+  if (timer_.active() || term_.over()) return;
+  remove_later(book_.take_replaced());
+  while (in_flight_ < c::kWritesInFlight) {
+    int most = std::min(txn_ops_, static_cast<int>(allowance_));
+    if (most < 2) return pump_after(2 / rate());
+    // Ends free what awaits them and launches free machines' time, so the two take turns; the rest comes
+    // after.
+    auto over = book_.finished_jobs();
+    end_next_ = !end_next_;
+    if (end_next_ && !over.empty()) {
+      finalize(over.front());
+      continue;
+    }
+    auto batch = book_.next_writes(most, over.empty() && allowance_ > rate() / 2, now);
+    if (!batch.empty()) {
+      allowance_ -= static_cast<double>(batch.size());
+      write_shards(std::move(batch));
+    } else if (!over.empty()) {
+      finalize(over.front());
+    } else {
+      break;
+    }
+  }
+  if (in_flight_ == 0 && allowance_ > rate() / 2) remove_garbage();
+}
+
+bool StoreWriter::deposed(const StateReply& reply) {
+  if (reply.status != StateStatus::Conflict) return false;
+  auto failed = codec::parse_failed(reply.body);
+  if (!std::count(failed.begin(), failed.end(), kLeaderKey)) return false;
+  hooks_.over("the leader's record changed");
+  return true;
+}
+
+void StoreWriter::write_shards(std::vector<ShardWrite> batch) {
+  ++in_flight_;
+  std::vector<codec::Condition> conditions{{kLeaderKey, term_.stamp}};
+  std::vector<codec::Write> writes;
+  for (const auto& w : batch) {
+    conditions.push_back({w.key, w.version});
+    writes.push_back({w.key, w.value, 0});
+  }
+  state_.txn(conditions, writes, term_.guard([this, batch = std::move(batch)](StateReply reply) {
+    --in_flight_;
+    if (reply.ok()) {
+      term_.confirmed(reply.sent_at);
+      book_.written(batch, codec::parse_revision(reply.body), steady_now());
+      return hooks_.changed();
+    }
+    book_.write_failed(batch);
+    if (deposed(reply)) return;
+    if (reply.status == StateStatus::Conflict) {
+      // An earlier write of ours, taken for lost, was applied after all: its stamps are read
+      // again, so that whichever of the two comes last fails.
+      auto failed = codec::parse_failed(reply.body);
+      for (const auto& w : batch)
+        if (std::count(failed.begin(), failed.end(), w.key)) read_stamp(w);
+      return;
+    }
+    if (reply.status == StateStatus::Invalid) {
+      std::size_t largest = 0;
+      for (const auto& w : batch) largest = std::max(largest, w.value.dump().size());
+      refused(largest);
+    }
+    pump_after(c::kRetryPause);
+  }));
+}
+
+void StoreWriter::read_stamp(const ShardWrite& w) {
+  ++in_flight_;
+  state_.get(w.key, term_.guard([this, w](StateReply read) {
+    --in_flight_;
+    if (read.ok()) {
+      if (auto kv = codec::parse_value(read.body)) book_.record_version(w, kv->version);
+    } else if (read.status == StateStatus::Missing) {
+      book_.record_version(w, 0);
+    }
+    pump_after(c::kStampPause);
+  }));
+}
+
+void StoreWriter::finalize(const std::string& id) {
+  Job* job = book_.job(id);
+  if (!job) return;
+  job->finalizing = true;
+  ++in_flight_;
+  std::vector<codec::Condition> conditions{{kLeaderKey, term_.stamp}, {kJobs + id, job->version}};
+  std::vector<codec::Write> writes{{kJobs + id, std::nullopt, 0}};
+  // A job whose end no cancel has stored yet: it is done, or a job that it needs was cancelled.
+  bool done = !job->cancelled && !job->orphaned;
+  if (!job->cancelled) {
+    // Conditioned on no other end having been stored: the first to be stored stands for good.
+    conditions.push_back({kFinals + id, 0});
+    codec::Json end = {
+        {"p", done ? "done" : "cancelled"}, {"n", done ? job->spec.tasks : 0}, {"t", wall_now()}};
+    writes.push_back({kFinals + id, std::move(end), 0});
+  }
+  allowance_ -= static_cast<double>(writes.size());
+  state_.txn(conditions, writes, term_.guard([this, id, done](StateReply reply) {
+    --in_flight_;
+    Job* j = book_.job(id);
+    if (reply.ok()) {
+      term_.confirmed(reply.sent_at);
+      if (j) {
+        // Records of a job that is over say nothing any more, so they go when changes are to
+        // spare.
+        remove_later(book_.record_keys(*j));
+        ended_({id, done ? "done" : "cancelled", j->spec.tasks, 0, ""});
+      }
+      remove_later(feed_.take_side_keys(id));
+      spdlog::debug("job {} is {}", id, done ? "done" : "cancelled");
+      book_.outcome(id, done ? Cluster::Outcome::Done : Cluster::Outcome::Cancelled, steady_now());
+      book_.forget_job(id);
+      return hooks_.changed();
+    }
+    if (deposed(reply)) return;
+    if (reply.status == StateStatus::Conflict) return reread(id);
+    if (j) j->finalizing = false;
+    if (reply.status == StateStatus::Invalid) refused();
+    pump_after(c::kRetryPause);
+  }));
+}
+
+void StoreWriter::vanished(const std::string& id) {
+  Job* job = book_.job(id);
+  if (!job || job->finalizing) return;  // the answer to our own write will tell
+  // Guards quota and places: what still runs of it is stopped first, and its places count until there is
+  // proof.
+  if (!job->active.empty()) return book_.put_job(JobSpec(job->spec), job->version, true, steady_now());
+  reread(id);
+}
+
+void StoreWriter::reread(const std::string& id) {
+  ++in_flight_;
+  state_.get(kJobs + id, term_.guard([this, id](StateReply reply) {
+    --in_flight_;
+    if (reply.status == StateStatus::Missing) {
+      book_.forget_job(id);  // an earlier, unanswered transaction of ours had ended it
+    } else {
+      if (Job* j = book_.job(id)) j->finalizing = false;
+      if (reply.ok())
+        if (auto kv = codec::parse_value(reply.body))
+          feed_.record(kv->key, std::move(kv->value), kv->version);
+    }
+    pump_after(reply.ok() ? c::kStampPause : c::kRetryPause);
+  }));
+}
+
+void StoreWriter::remove_later(std::vector<std::string> keys) {
+  garbage_.insert(garbage_.end(), keys.begin(), keys.end());
+}
+
+void StoreWriter::remove_garbage() {
+  if (removing_ || garbage_.empty()) return;
+  removing_ = true;
+  int n = std::min<int>(txn_ops_, static_cast<int>(garbage_.size()));
+  std::vector<codec::Write> writes;
+  for (int i = 0; i < n; ++i) writes.push_back({garbage_[static_cast<std::size_t>(i)], std::nullopt, 0});
+  allowance_ -= n;
+  state_.txn({{kLeaderKey, term_.stamp}}, writes, term_.guard([this, n](StateReply reply) {
+    removing_ = false;
+    if (reply.status == StateStatus::Invalid) refused();
+    if (reply.ok()) garbage_.erase(garbage_.begin(), garbage_.begin() + n);
+  }));
+}
+
+/// A value that keeps to the limit so far, and not to the one to come, was refused: that one has come, which
+/// the operators promise only for after the upgrade. Any other refusal proves nothing but that less is taken.
+void StoreWriter::refused(std::size_t largest) {
+  double kb = static_cast<double>(largest) / 1024;
+  if (!book_.second_form() && kb > settings_.next.value_kb && kb <= settings_.value_kb)
+    return hooks_.all_are_new("the state service has lowered its limits");
+  spdlog::warn("the state service refuses a transaction as too large: smaller ones follow");
+  txn_ops_ = std::max(2, txn_ops_ / 2);
+  book_.records_refused();
+}
+
+}  // namespace corkmux
--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -33,8 +34,25 @@
     corkmux::Loop loop;
     corkmux::Controller controller(loop, settings, choices);
     controller.start();
+    int status = 0;
+    bool ending = false;
+    auto end = [&](int signal) {
+      if (ending) {  // asked twice: at once, as after a crash
+        status = 128 + signal;
+        return loop.stop();
+      }
+      ending = true;
+      spdlog::info("ending in order: signal {}; a second one ends at once", signal);
+      controller.stop([&] {
+        spdlog::info("ended in order");
+        loop.stop();
+      });
+    };
+    corkmux::Signal terminate(loop, SIGTERM, [&] { end(SIGTERM); });
+    corkmux::Signal interrupt(loop, SIGINT, [&] { end(SIGINT); });
     spdlog::info("{} serves {} in {}", settings.label, settings.listen, settings.zone);
     loop.run();
+    return status;
   } catch (const std::exception& e) {
     std::cerr << "corkmux: " << e.what() << "\n";
     return 1;
--- a/src/store/state_client.cc
+++ b/src/store/state_client.cc
@@ -1,22 +1,25 @@
 #include "state_client.h"
 
 #include "constants.h"
+#include "loop.h"
 #include "store_keys.h"
 
 namespace corkmux {
 namespace c = constants;
 
-std::set<std::string> readers_of_our_form(const codec::Json& page) {
-  std::set<std::string> out;
-  for (const auto& kv : codec::parse_page(page).items)
-    if (kv.value.value("f", 0) >= c::kForm) out.insert(kv.key.substr(kForms.size()));
-  return out;
+std::optional<std::string> reader_of_our_form(const codec::KeyValue& record) {
+  if (!record.value.is_object() || record.value.value("f", 0) < c::kForm) return std::nullopt;
+  return record.key.substr(std::min(kForms.size(), record.key.size()));
 }
 
 StateClient::StateClient(Loop& loop, const std::string& address)
     : requests_(loop, address, c::kStateConnections, 256),
       watches_(loop, address, 4, 8),
-      grants_(loop, address, 1, 8) {}  // renewals never queue behind other requests
+      grants_(loop, address, 1, 8),  // renewals never queue behind other requests
+      outage_("the state service", address) {
+  for (auto* client : {&requests_, &grants_})
+    client->observe([this](const http::Result& r) { log_outcome(outage_, r); });
+}
 
 void StateClient::send(http::Client& client, const char* method, std::string target, const codec::Json* body,
                        double timeout_s, bool counts, Callback done) {
@@ -63,6 +66,29 @@
   send(requests_, "GET", codec::prefix_path(prefix, after, most), nullptr, c::kStateTimeout, true,
        std::move(done));
 }
+void StateClient::read_all(const std::string& prefix, const std::string& after,
+                           std::function<void(codec::KeyValue&)> each,
+                           std::function<void(const ReadEnd&)> done) {
+  auto so_far = std::make_shared<ReadEnd>();
+  so_far->last = after;
+  read_page(prefix, std::move(so_far), std::move(each), std::move(done));
+}
+void StateClient::read_page(const std::string& prefix, std::shared_ptr<ReadEnd> so_far,
+                            std::function<void(codec::KeyValue&)> each,
+                            std::function<void(const ReadEnd&)> done) {
+  list(prefix, so_far->last, c::kListPage,
+       [this, prefix, so_far, each = std::move(each), done = std::move(done)](StateReply reply) {
+         so_far->status = reply.status;
+         if (!reply.ok()) return done(*so_far);
+         auto page = codec::parse_page(reply.body);
+         if (!so_far->revision) so_far->revision = page.revision;
+         if (!page.items.empty()) so_far->last = page.items.back().key;
+         for (auto& kv : page.items) each(kv);
+         // Guards against taking a part for the whole: only the service says that a page was the last.
+         if (page.more && !page.items.empty()) return read_page(prefix, so_far, each, done);
+         done(*so_far);
+       });
+}
 void StateClient::txn(const std::vector<codec::Condition>& conditions,
                       const std::vector<codec::Write>& writes, Callback done) {
   auto body = codec::txn_to_wire(conditions, writes);
@@ -76,6 +102,9 @@
   auto body = codec::Json::object();
   send(grants_, "POST", codec::renew_path(grant), &body, c::kGrantRenew, true, std::move(done));
 }
+void StateClient::end_grant(std::uint64_t grant, Callback done) {
+  send(grants_, "DELETE", codec::grant_path(grant), nullptr, c::kStateTimeout, true, std::move(done));
+}
 void StateClient::watch(const std::string& prefix, std::uint64_t after, double wait_s, Callback done) {
   send(watches_, "GET", codec::watch_path(prefix, after, wait_s), nullptr, wait_s + c::kWatchSlack, false,
        std::move(done));
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -492,7 +492,8 @@
   return "/watch?under=" + prefix + "&after=" + std::to_string(after) +
          "&waitMs=" + std::to_string(static_cast<long>(wait_s * 1000));
 }
-std::string renew_path(std::uint64_t grant) { return "/grants/" + std::to_string(grant) + "/renew"; }
+std::string grant_path(std::uint64_t grant) { return "/grants/" + std::to_string(grant); }
+std::string renew_path(std::uint64_t grant) { return grant_path(grant) + "/renew"; }
 
 Json txn_to_wire(const std::vector<Condition>& conditions, const std::vector<Write>& writes) {
   Json ifs = Json::array(), ops = Json::array();
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -91,6 +91,7 @@
 std::string key_path(const std::string& key);
 std::string prefix_path(const std::string& prefix, const std::string& after, int most);
 std::string watch_path(const std::string& prefix, std::uint64_t after, double wait_s);
+std::string grant_path(std::uint64_t grant);
 std::string renew_path(std::uint64_t grant);
 Json txn_to_wire(const std::vector<Condition>& conditions, const std::vector<Write>& writes);
 Json grant_request(double life_s);
--- /dev/null
+++ b/tests/ending_test.cc
@@ -0,0 +1,175 @@
+// An orderly end: leadership goes back at once, nothing that was in flight can harm a successor, and the
+// program ends with status 0 in bounded time.
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "site.h"
+
+namespace corkmux {
+namespace {
+
+namespace fs = std::filesystem;
+
+TEST_F(Site, AnOrderlyEndHandsLeadershipOnBeforeItIsOver) {
+  start_controller("one");
+  ASSERT_TRUE(wait_for([&] { return leader() == "one"; }));
+  start_controller("two");
+  add_worker("n-1", "a", 3);
+  ASSERT_EQ(submit("one", job("run-1", 4)), 201);
+  ASSERT_TRUE(wait_for([&] { return workers[0]->running() == 4; }));
+  bool ended = false;
+  controllers["one"]->stop([&] { ended = true; });
+  // An open connection is answered at once and closed; the rest is refused, so that a balancer goes
+  // elsewhere.
+  auto open = call("one", "GET", "/ready", "");
+  EXPECT_TRUE(open.status == 503 || open.status == 0) << open.status;
+  ASSERT_TRUE(wait_for([&] { return ended; }, constants::kEndTime + 2));
+  auto values = state.values();
+  EXPECT_TRUE(!values.count("leader") || values["leader"]["label"] == "two");
+  EXPECT_FALSE(controllers["one"]->leading());
+  // Its own grant would have blocked a successor for kGrantLife.
+  ASSERT_TRUE(wait_for([&] { return leader() == "two"; }));
+  stop_controller("one");
+  EXPECT_TRUE(wait_for([&] { return phase("two", "run-1") == "done"; }));
+  for (const auto& [part, n] : starts) EXPECT_EQ(n, 1) << part << " was started again";
+}
+
+TEST_F(Site, AWriteThatIsStillUnansweredAtAnOrderlyEndIsShutOut) {
+  start_controller("one");
+  ASSERT_TRUE(wait_for([&] { return leader() == "one"; }));
+  add_worker("n-1", "a", 1);
+  state.hold_prefix = "t/";
+  ASSERT_EQ(submit("one", job("run-1", 2)), 201);
+  ASSERT_TRUE(wait_for([&] { return state.holds(); }));
+  bool ended = false;
+  controllers["one"]->stop([&] { ended = true; });
+  ASSERT_TRUE(wait_for([&] { return ended; }, constants::kEndTime + 2));
+  for (int status : state.release()) EXPECT_EQ(status, 409);  // late, and without effect
+  stop_controller("one");
+  start_controller("two");
+  workers.clear();
+  add_worker("n-2", "a", 0.3);
+  EXPECT_TRUE(wait_for([&] { return phase("two", "run-1") == "done"; }));
+  for (const auto& [part, n] : starts) EXPECT_EQ(n, 1) << part;
+}
+
+TEST_F(Site, AnOrderlyEndIsBoundedWhileTheStateServiceIsSilent) {
+  start_controller("one");
+  ASSERT_TRUE(wait_for([&] { return leader() == "one"; }));
+  state.mute = true;
+  bool ended = false;
+  controllers["one"]->stop([&] { ended = true; });
+  EXPECT_TRUE(wait_for([&] { return ended; }, constants::kEndTime + 2));
+}
+
+/// The real program as a child process; its log in a file.
+struct Program {
+  explicit Program(const std::string& settings) {
+    char name[] = "/tmp/corkmux-test-XXXXXX";
+    dir = ::mkdtemp(name);
+    std::ofstream(dir / "settings.toml") << settings;
+    std::string config = dir / "settings.toml", log = dir / "log";
+    pid = ::fork();
+    if (pid == 0) {
+      int fd = ::open(log.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
+      ::dup2(fd, 2);
+      ::setenv("LOG_LEVEL", "info", 1);
+      ::execl(CORKMUX_PROGRAM, CORKMUX_PROGRAM, "--config", config.c_str(), nullptr);
+      ::_exit(127);
+    }
+  }
+  ~Program() {
+    if (!status) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
+    fs::remove_all(dir);
+  }
+  std::string log() const {
+    std::ifstream in(dir / "log");
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  bool over() {
+    int s = 0;
+    if (!status && ::waitpid(pid, &s, WNOHANG) == pid) status = s;
+    return status.has_value();
+  }
+  fs::path dir;
+  pid_t pid = -1;
+  std::optional<int> status;
+};
+
+std::string settings_toml(const std::string& state, const std::string& cloud) {
+  return R"(
+label = "one"
+domain = "a"
+bind = "127.0.0.1:0"
+peer_listen = "127.0.0.1:0"
+[outside]
+cloud = ")" +
+         cloud + R"("
+state = ")" +
+         state + R"("
+[cluster]
+zones = ["a"]
+[[cluster.teams]]
+name = "x"
+cpus = 10.0
+cpus_max = 20.0
+[cluster.workers]
+report_s = 2.5
+lease_s = 16.0
+gang_wait_s = 30.0
+gang_peer_s = 8.0
+cancel_s = 41.0
+[cluster.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 12
+[cluster.cloud]
+rps = 4.0
+list_lag_s = 5.0
+[cluster.limits]
+fd_limit = 1800
+)";
+}
+
+TEST_F(Site, TheProgramEndsInOrderWithStatusZeroAndLeavesNoGrantBehind) {
+  Program program(settings_toml(state.address(), cloud.address()));
+  ASSERT_TRUE(wait_for([&] { return program.log().find("jobs loaded") != std::string::npos; }))
+      << program.log();
+  ASSERT_TRUE(state.values().count("leader"));
+  ::kill(program.pid, SIGTERM);
+  ASSERT_TRUE(wait_for([&] { return program.over(); }, constants::kEndTime + 5));
+  EXPECT_TRUE(WIFEXITED(*program.status) && WEXITSTATUS(*program.status) == 0) << *program.status;
+  EXPECT_FALSE(state.values().count("leader"));
+  EXPECT_NE(program.log().find("ended in order"), std::string::npos) << program.log();
+}
+
+TEST_F(Site, TheProgramSaysWhatItWaitsForAndASecondSignalEndsItAtOnce) {
+  state.down = true;
+  Program program(settings_toml(state.address(), "127.0.0.1:1"));
+  ASSERT_TRUE(wait_for([&] {
+    auto log = program.log();
+    return log.find("waiting for the state service at " + state.address()) != std::string::npos &&
+           log.find("waiting for the cloud's interface at 127.0.0.1:1") != std::string::npos;
+  })) << program.log();
+}
+
+TEST_F(Site, ASecondSignalEndsTheProgramAtOnce) {
+  Program program(settings_toml(state.address(), cloud.address()));
+  ASSERT_TRUE(wait_for([&] { return program.log().find("jobs loaded") != std::string::npos; }))
+      << program.log();
+  state.mute = true;  // an orderly end waits for its answer
+  ::kill(program.pid, SIGINT);
+  ASSERT_TRUE(wait_for([&] { return program.log().find("ending in order") != std::string::npos; }));
+  ::kill(program.pid, SIGINT);
+  ASSERT_TRUE(wait_for([&] { return program.over(); }));
+  EXPECT_TRUE(WIFEXITED(*program.status) && WEXITSTATUS(*program.status) == 128 + SIGINT) << *program.status;
+}
+
+}  // namespace
+}  // namespace corkmux
--- /dev/null
+++ b/tests/site.h
@@ -0,0 +1,92 @@
+// Whole controllers on loopback against the stand-ins.
+#pragma once
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "controller.h"
+#include "stand_ins.h"
+
+namespace corkmux {
+
+using codec::Json;
+
+class Site : public ::testing::Test {
+ protected:
+  void SetUp() override { spdlog::set_level(spdlog::level::off); }
+
+  void start_controller(const std::string& label) {
+    Settings s;
+    s.label = label, s.zone = "a", s.listen = s.peer_listen = "127.0.0.1:0";
+    s.cloud = cloud.address(), s.state = state.address(), s.zones = {"a", "b"};
+    s.teams = {{"x", 16, 64, 0, 0}};
+    s.report_s = 0.5, s.lease_s = 8, s.gang_wait_s = 20, s.gang_peer_s = 4, s.cancel_s = 30;
+    s.state_rps = 1000, s.state_write_rps = 500, s.value_kb = 16, s.txn_ops = 12, s.cloud_rps = 10,
+    s.list_lag_s = 1;
+    s.next = limits, s.peers = others;
+    auto& c = controllers[label];
+    c = std::make_unique<Controller>(loop, s, load_operator(""));
+    c->start();
+    ports[label] = c->port();
+    clients[label] = std::make_unique<http::Client>(loop, "127.0.0.1:" + std::to_string(c->port()), 4, 100);
+  }
+  void stop_controller(const std::string& label) {
+    clients.erase(label);
+    controllers.erase(label);
+  }
+  void add_worker(const std::string& name, const std::string& zone, double run_s) {
+    workers.push_back(std::make_unique<standin::Worker>(loop, name, zone, ports, starts, run_s));
+  }
+  /// Runs the loop until the condition holds; generous, since a slow machine is no failure.
+  bool wait_for(std::function<bool()> condition, double at_most = 40) {
+    double until = steady_now() + at_most;
+    Timer tick(loop);
+    tick.every(0.02, [] {});
+    bool met = false;
+    while (!(met = condition()) && steady_now() < until) loop.run_once();
+    return met;
+  }
+  http::Result call(const std::string& label, const char* method, const std::string& path,
+                    const std::string& body) {
+    http::Result result;
+    bool told = false;
+    clients.at(label)->request(method, path, body, 5,
+                               [&](http::Result r) { result = std::move(r), told = true; });
+    wait_for([&] { return told; });
+    return result;
+  }
+  static Json job(const std::string& id, int parts = 1, const char* shape = "batch") {
+    return {{"ref", id},        {"troupe", "t"},     {"crew", "x"},    {"shape", shape},
+            {"rank", "normal"}, {"parts", parts},    {"vcpus", 4.0},   {"accelerators", 0.0},
+            {"memGb", 4.0},     {"bundle", "i"},     {"imageGb", 1.0}, {"together", false},
+            {"spread", false},  {"lendable", false}, {"guessS", 1.0},  {"bookmarkS", 0.0},
+            {"stashS", 0.0}};
+  }
+  int submit(const std::string& label, const Json& body) {
+    int status = 0;
+    wait_for([&] { return (status = call(label, "POST", "/work", codec::pack(body)).status) != 503; });
+    return status;
+  }
+  std::string phase(const std::string& label, const std::string& id) {
+    auto r = call(label, "GET", "/work/" + id, "");
+    auto body = codec::unpack(r.body);
+    return r.status == 200 && body ? body->value("phase", "") : std::to_string(r.status);
+  }
+  std::string leader() const {
+    for (const auto& [label, c] : controllers)
+      if (c->leading()) return label;
+    return "";
+  }
+
+  StateLimits limits{500, 16, 12};
+  std::vector<PeerAddress> others;
+  Loop loop;
+  standin::State state{loop};
+  standin::Cloud cloud{loop};
+  std::map<std::string, std::unique_ptr<Controller>> controllers;
+  std::map<std::string, std::unique_ptr<http::Client>> clients;
+  std::map<std::string, int> ports;
+  std::map<std::string, int> starts;
+  std::vector<std::unique_ptr<standin::Worker>> workers;
+};
+
+}  // namespace corkmux
--- /dev/null
+++ b/tests/term_test.cc
@@ -0,0 +1,206 @@
+// What the actors of a leader's term do where the state service gives its answers in parts, forgets, or
+// answers late, and where the process stood still.
+#include <gtest/gtest.h>
+
+#include "cloud_fleet.h"
+#include "job_feed.h"
+#include "keeper_record.h"
+#include "lease_watch.h"
+#include "loader.h"
+#include "outage_log.h"
+#include "stand_ins.h"
+#include "store_writer.h"
+
+namespace corkmux {
+namespace {
+
+using codec::Json;
+
+struct TermTest : ::testing::Test {
+  Loop loop;
+  standin::State state{loop};
+  standin::Cloud cloud{loop};
+  StateClient client{loop, state.address()};
+  http::Client cloud_client{loop, cloud.address(), 2, 8};
+  Settings settings;
+  Term term;
+  std::unique_ptr<Cluster> book;
+  std::vector<std::string> vanished;
+  TermHooks hooks{[] {}, [](const char*) {}, [](const char*) {}};
+
+  void SetUp() override {
+    settings.report_s = 3, settings.lease_s = 20, settings.cancel_s = 40, settings.value_kb = 16;
+    settings.txn_ops = 12, settings.state_write_rps = 100, settings.next = {100, 16, 12};
+    ClusterConfig config;
+    config.report_s = 3, config.lease_s = 20, config.cancel_s = 40;
+    config.zones = {"a"};
+    config.teams = {{"x", 1000, 1000, 0, 0}};
+    term.number = 1, term.since = steady_now();
+    term.confirmed(term.since);
+    book = std::make_unique<Cluster>(config, 1, term.since, 1);
+    book->set_catalog({{"m", {16, 0, 64}, 50, 1, 1, 0.5, 1, {"a"}}});
+  }
+  std::unique_ptr<JobFeed> feed() {
+    return std::make_unique<JobFeed>(loop, client, term, *book, hooks,
+                                     [this](const std::string& id) { vanished.push_back(id); });
+  }
+  bool wait_for(std::function<bool()> condition, double at_most = 20) {
+    double until = steady_now() + at_most;
+    Timer tick(loop);
+    tick.every(0.01, [] {});
+    bool met = false;
+    while (!(met = condition()) && steady_now() < until) loop.run_once();
+    return met;
+  }
+  static Json record(const std::string& id) {
+    JobSpec spec;
+    spec.id = id, spec.job_class = "c", spec.team = "x", spec.image = "i", spec.need = {1, 0, 1};
+    return {{"j", codec::job_to_wire(spec)}, {"c", 0}, {"t", wall_now()}};
+  }
+  static std::string id(int n) { return "run-" + std::to_string(1000 + n); }
+  Report report_of(const std::string& machine, std::uint64_t seq) {
+    Report r;
+    r.machine = machine, r.address = "127.0.0.1:1", r.type = "m", r.zone = "a";
+    r.session = 1, r.seq = seq,
+    r.token = (std::uint64_t{1} << 20) + 1000;  // of the term, beyond what the book has given
+    return r;
+  }
+};
+
+// Accepted jobs must be seen however the service cuts its pages, also after it has forgotten what changed;
+// and a record that went away meanwhile must be noticed.
+TEST_F(TermTest, JobsAreSeenWhereverAPageEndsAndWhateverIsForgotten) {
+  for (std::size_t page : {1, 2, 7, 1000}) {
+    SCOPED_TRACE(page);
+    SetUp();
+    vanished.clear();
+    state.page_most = page;
+    for (int i = 0; i < 25; ++i) state.put("a/" + id(i), record(id(i)));
+    auto jobs = feed();
+    bool loaded = false;
+    jobs->load([&] { loaded = true; });
+    ASSERT_TRUE(wait_for([&] { return loaded; }));
+    EXPECT_EQ(book->jobs().size(), 25u);
+    state.remove("a/" + id(3));
+    for (int i = 25; i < 60; ++i) state.put("a/" + id(i), record(id(i)));
+    state.forget_history();
+    jobs->follow();
+    ASSERT_TRUE(wait_for([&] { return book->jobs().size() == 60 && !vanished.empty(); }))
+        << book->jobs().size();
+    EXPECT_EQ(vanished, std::vector<std::string>{id(3)});
+    // And it follows from there on.
+    state.put("a/" + id(60), record(id(60)));
+    EXPECT_TRUE(wait_for([&] { return book->job(id(60)) != nullptr; }));
+    EXPECT_EQ(vanished.size(), 1u);
+    term.end();
+    term = Term{};
+    for (int i = 0; i <= 60; ++i) state.remove("a/" + id(i));
+    wait_for([] { return false; }, 0.05);
+  }
+}
+
+// Guards against `ran_twice`: a keeper named on a page that was not read would look like no keeper.
+TEST_F(TermTest, AKeeperOnALaterPageKeepsItsMachinesFromCountingAsGone) {
+  state.page_most = 2;
+  for (int i = 0; i < 9; ++i)
+    state.put("k/c" + std::to_string(i), {{"m", Json::array({"n-" + std::to_string(i)})}, {"n", 1}});
+  state.put("a/run-1", record("run-1"));
+  auto jobs = feed();
+  bool loaded = false;
+  jobs->load([&] { loaded = true; });
+  ASSERT_TRUE(wait_for([&] { return loaded; }));
+  // A stored task on the machine that the last keeper names; its lease ran out long ago as far as the leader
+  // knows.
+  double now = steady_now();
+  book->on_report(report_of("n-8", 1), Cluster::Channel::Report, now);
+  book->plan(now);
+  Job* job = book->job("run-1");
+  ASSERT_EQ(job->active.size(), 1u);
+  auto batch = book->next_writes(12, true, now);
+  book->written(batch, 77, now);
+  book->take_orders("n-8", now - 1000);
+  Machine* m = book->machine("n-8");
+  m->last_answered = m->last_launch = m->fenced_at = now - 1000;
+  ASSERT_EQ(book->lapsed(now).size(), 1u);
+  LeaseWatch watch(loop, settings, client, term, *book, hooks);
+  watch.tick();
+  wait_for([&] { return m->kept_until > 0; }, 5);
+  EXPECT_GT(m->kept_until, now);
+  EXPECT_EQ(job->active.size(), 1u);  // not counted as gone
+  for (int i = 0; i < 9; ++i) state.remove("k/c" + std::to_string(i));
+}
+
+// A process that stood still judges nothing by its own silence, and returns nothing to the cloud before the
+// state service has confirmed that it still leads.
+TEST_F(TermTest, AfterStandingStillNothingIsReturnedUntilTheTermIsConfirmed) {
+  double now = steady_now();
+  for (int i = 0; i < 10; ++i)
+    book->on_report(report_of("n-" + std::to_string(i), 1), Cluster::Channel::Report, now - 60);
+  auto heard = [&](double at) {
+    for (int i = 0; i < 8; ++i)
+      book->on_report(report_of("n-" + std::to_string(i), 2), Cluster::Channel::Report, at);
+  };
+  // Eight speak at once, before the first tick; two of ten are too few silent ones to blame the network.
+  heard(now);
+  book->stood_still(now);
+  book->tick(now);
+  EXPECT_TRUE(book->doomed().empty());
+  // Whatever was to be returned before stays until the term is confirmed.
+  book->doom("n-9", now);
+  term.since = now - 100;
+  term.contact = now - 33;
+  term.woke_at = now;
+  CloudFleet fleet(loop, settings, {0.5, 600, 2, true}, cloud_client, term, *book, hooks,
+                   [](const std::string&) {});
+  fleet.start();
+  wait_for([] { return false; }, 1.3);
+  EXPECT_EQ(cloud.deletions, 0);
+  term.confirmed(steady_now());
+  EXPECT_TRUE(wait_for([&] { return cloud.deletions == 1; }));
+}
+
+// What a takeover reads grows with unfinished work alone.
+TEST_F(TermTest, ATakeoverReadsNoMoreForTenTimesTheFinishedJobs) {
+  for (int i = 0; i < 150; ++i) state.put("a/" + id(i), record(id(i)));
+  std::vector<int> pages;
+  int finished = 0;
+  for (int most : {300, 3000}) {
+    for (; finished < most; ++finished)
+      state.put("f/done-" + std::to_string(finished), {{"p", "done"}, {"n", 1}});
+    int before = state.pages_read;
+    SetUp();
+    auto jobs = feed();
+    bool loaded = false;
+    Loader loader(loop, client, term, *book, *jobs,
+                  {[&](std::vector<std::string>) { loaded = true; }, [](const std::string&) {}});
+    loader.start();
+    ASSERT_TRUE(wait_for([&] { return loaded; }));
+    EXPECT_EQ(book->jobs().size(), 150u);
+    pages.push_back(state.pages_read - before);
+  }
+  EXPECT_EQ(pages[0], pages[1]);
+  EXPECT_LE(pages[0], 4);  // two of jobs, one each of both forms of task records
+}
+
+TEST(OutageLog, SaysOnceWhatIsWaitedForAgainInGrowingIntervalsAndWhenItIsThere) {
+  OutageLog log("the state service", "10.0.0.1:2379");
+  std::vector<double> said;
+  for (double t = 0; t < 100; t += 0.5)
+    if (auto line = log.failed(t, "connection refused")) {
+      EXPECT_NE(line->find("10.0.0.1:2379"), std::string::npos);
+      EXPECT_NE(line->find("connection refused"), std::string::npos);
+      said.push_back(t);
+    }
+  EXPECT_EQ(said, (std::vector<double>{0, 5, 15, 35, 75}));
+  EXPECT_NE(log.answered(100)->find("answers"), std::string::npos);
+  EXPECT_FALSE(log.answered(101));
+  // Later, one lost answer is not worth a line.
+  EXPECT_FALSE(log.failed(200, "no answer in time"));
+  EXPECT_FALSE(log.answered(200.5));
+  EXPECT_FALSE(log.failed(300, "no answer in time"));
+  EXPECT_TRUE(log.failed(302.5, "no answer in time"));
+  EXPECT_NE(log.answered(310)->find("after 10 s"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace corkmux
