--- /dev/null
+++ b/benchmarks/book_benchmark.cc
@@ -0,0 +1,182 @@
+// The leader's book on fleets of three sizes, full of work: what one pass, report, load and batch of writes
+// takes. Works over any version of the book: where calls differ, each is asked for what it has.
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cluster.h"
+
+namespace corkmux {
+namespace {
+
+template <class C>
+auto next_writes(C& cluster) {
+  if constexpr (requires { cluster.next_writes(12, true, 0.0); })
+    return cluster.next_writes(12, true, 0.0);
+  else
+    return cluster.next_writes(12);
+}
+
+template <class C, class W>
+void load(C& cluster, const W& w) {
+  if constexpr (requires { cluster.load_record(w.key, w.value, w.version); })
+    cluster.load_record(w.key, w.value, 1);
+  else
+    cluster.load_shard(w.job, w.shard, w.value, 1);
+}
+
+template <class C>
+void all_loaded(C& cluster) {
+  if constexpr (requires { cluster.loaded(); }) cluster.loaded();
+}
+
+template <class C>
+void newest_form(C& cluster) {
+  if constexpr (requires { cluster.use_second_form(); }) cluster.use_second_form();
+}
+
+using Writes = decltype(next_writes(std::declval<Cluster&>()));
+
+std::unique_ptr<Cluster> empty_book() {
+  ClusterConfig config;
+  config.zones = {"a", "b", "c"};
+  config.teams = {{"x", 1000, 0, 0, 0}, {"y", 0, 0, 0, 0}};
+  auto cluster = std::make_unique<Cluster>(config, 1, 0, 5);
+  cluster->set_catalog({{"plain", {32, 0, 128}, 60, 0.5, 2, 1, 15, {"a", "b", "c"}},
+                        {"gpu", {32, 4, 128}, 150, 1, 14, 4, 60, {"a", "b", "c"}}});
+  newest_form(*cluster);
+  return cluster;
+}
+
+struct Site {
+  std::unique_ptr<Cluster> cluster = empty_book();
+  std::vector<Report> workers;
+  std::vector<JobSpec> jobs;
+  Writes stored;
+  std::uint64_t stamp = 0;
+  double now = 0;
+
+  explicit Site(int machines) {
+    for (int i = 0; i < machines; ++i) {
+      Report r;
+      r.machine = "n-" + std::to_string(i), r.address = "x", r.type = i % 5 < 3 ? "plain" : "gpu";
+      r.zone = std::string(1, static_cast<char>('a' + i % 3)), r.session = 1, r.seq = 1;
+      r.token = cluster->on_report(r, Cluster::Channel::Report, 0).token, r.seq = 2;
+      cluster->on_report(r, Cluster::Channel::Report, 0);
+      workers.push_back(r);
+    }
+    // Jobs of 200 tasks, two tasks on each machine and a rest of room on some.
+    for (int left = 2 * machines; left > 0; left -= 200)
+      add(JobKind::Array, Priority::Normal, std::min(left, 200), {15, 0, 51});
+    for (std::size_t before = 1, after = 0; before != after; after = started()) {
+      before = after;
+      cluster->plan(now);
+      store(true);
+    }
+    for (const auto& [id, job] : cluster->jobs()) jobs.push_back(job.spec);
+    for (const auto& name : cluster->with_orders()) {
+      auto orders = cluster->take_orders(name, now);
+      cluster->orders_done(name, orders, Cluster::OrdersOutcome::Executed, now);
+    }
+  }
+  std::string add(JobKind kind, Priority priority, int tasks, Resources need) {
+    JobSpec s;
+    s.id = "run-" + std::to_string(++stamp), s.team = "x", s.kind = kind, s.priority = priority;
+    s.tasks = tasks, s.need = need, s.one_zone = kind == JobKind::Gang;
+    s.image = "i" + std::to_string(stamp % 20), s.image_gb = 3;
+    cluster->put_job(s, stamp, false, now);
+    return s.id;
+  }
+  void store(bool keep) {
+    for (;;) {
+      auto batch = next_writes(*cluster);
+      if (batch.empty()) return;
+      cluster->written(batch, ++stamp, now);
+      if (keep) stored.insert(stored.end(), batch.begin(), batch.end());
+    }
+  }
+  std::size_t started() const {
+    std::size_t n = 0;
+    for (const auto& [id, job] : cluster->jobs()) n += job.active.size();
+    return n;
+  }
+};
+
+Site& site(int machines) {
+  static std::map<int, std::unique_ptr<Site>> sites;
+  auto& s = sites[machines];
+  if (!s) s = std::make_unique<Site>(machines);
+  return *s;
+}
+
+/// Forty gangs wait and nothing has room for any of them.
+void PassOverAWaitingQueue(benchmark::State& state) {
+  Site& s = site(static_cast<int>(state.range(0)));
+  std::vector<std::string> queue;
+  for (int i = 0; i < 40; ++i)
+    queue.push_back(s.add(JobKind::Gang, Priority::Normal, 1 + i % 16, {15, 0, 51}));
+  for (auto _ : state) s.cluster->plan(s.now);
+  for (const auto& id : queue) s.cluster->forget_job(id);
+}
+
+/// One job of eight tasks comes, finds the little room that there is, and goes again.
+void PassThatPlacesEight(benchmark::State& state) {
+  Site& s = site(static_cast<int>(state.range(0)));
+  for (auto _ : state) {
+    auto id = s.add(JobKind::Array, Priority::Normal, 8, {1, 0, 1});
+    s.cluster->plan(s.now);
+    if (s.cluster->job(id)->active.size() != 8) state.SkipWithError("not placed");
+    s.cluster->forget_job(id);
+  }
+}
+
+void OneReport(benchmark::State& state) {
+  Site& s = site(static_cast<int>(state.range(0)));
+  std::size_t i = 0;
+  for (auto _ : state) {
+    Report& r = s.workers[i++ % s.workers.size()];
+    ++r.seq;
+    benchmark::DoNotOptimize(s.cluster->on_report(r, Cluster::Channel::Report, s.now));
+  }
+}
+
+/// All jobs and records of a full fleet, as a new leader reads them.
+void Load(benchmark::State& state) {
+  Site& s = site(static_cast<int>(state.range(0)));
+  for (auto _ : state) {
+    auto fresh = empty_book();
+    std::uint64_t stamp = 0;
+    for (const auto& spec : s.jobs) fresh->put_job(spec, ++stamp, false, 0, 100);
+    for (const auto& w : s.stored) load(*fresh, w);
+    all_loaded(*fresh);
+    benchmark::DoNotOptimize(fresh->jobs().size());
+  }
+}
+
+/// The records of a job that was just placed on eight machines.
+void WriteBatch(benchmark::State& state) {
+  Site& s = site(static_cast<int>(state.range(0)));
+  for (auto _ : state) {
+    state.PauseTiming();
+    auto id = s.add(JobKind::Array, Priority::Normal, 8, {1, 0, 1});
+    s.cluster->plan(s.now);
+    state.ResumeTiming();
+    s.store(false);
+    state.PauseTiming();
+    s.cluster->forget_job(id);
+    state.ResumeTiming();
+  }
+}
+
+#define AT_ALL_SIZES(name) BENCHMARK(name)->Arg(1000)->Arg(5000)->Arg(20000)->Unit(benchmark::kMicrosecond)
+AT_ALL_SIZES(PassOverAWaitingQueue);
+AT_ALL_SIZES(PassThatPlacesEight);
+AT_ALL_SIZES(OneReport);
+AT_ALL_SIZES(Load);
+AT_ALL_SIZES(WriteBatch);
+
+}  // namespace
+}  // namespace corkmux
