Jobs of the Kubernetes API: create, read, list and delete beside the native interface

Change: src/kube/, off unless the operators' file asks for it, on loopback only.

Not measured: times beside the native interface, memory per client.

Ruled out: a process of its own (two stores of truth), translation in the client (a real one must work unchanged).

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -181,7 +181,17 @@
 
 inline constexpr double kStateProbe = 0.7;  // s without an answer before a read asks whether it is there
 inline constexpr double kStateLost = 2.5;   // s without the state service while a peer has it: not ready
-inline constexpr int kRetryAfter = 1;       // s told to callers; the shortest they respect
+// --- Kubernetes-style clients ---
+inline constexpr int kKubeConnections = 32;      // sockets for them, of those that users have otherwise
+inline constexpr int kKubeDepth = 64;            // levels of a body; the API's own objects have some twelve
+inline constexpr int kKubeValues = 20000;        // values of a body once aliases are written out
+inline constexpr std::size_t kKubePage = 500;    // objects in one answer to a list, whatever is asked for
+inline constexpr int kKubeReads = 8;             // reads of the state service under way for one list
+inline constexpr int kKubeScan = 5000;           // objects looked at for one answer to a list with a selector
+inline constexpr int kKubeTries = 3;             // of a write that met a change
+inline constexpr double kKubeMostAmount = 1e12;  // of an annotation, in its unit
+
+inline constexpr int kRetryAfter = 1;  // s told to callers; the shortest they respect
 
 /// Terms are counted in the state service; below each, the leader numbers tokens and attempts itself.
 inline constexpr int kTermShift = 20;  // bits; 2^20 tokens a term, 2^44 terms
--- a/src/base/store_keys.h
+++ b/src/base/store_keys.h
@@ -12,5 +12,7 @@
 inline const std::string kFinals = "f/";        // how finished jobs ended, kept for good
 inline const std::string kMailPrefix = "m/";    // mail between controllers: m/<to>/<from>/<slot>
 inline const std::string kKeeperPrefix = "k/";  // workers that a keeper answers, by controller
+inline const std::string kKubeObjects =
+    "n/";  // what was submitted as Kubernetes objects: n/<namespace>/<kind>/<name>
 
 }  // namespace corkmux
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -3,6 +3,7 @@
 #include <google/protobuf/io/tokenizer.h>
 #include <google/protobuf/text_format.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <set>
@@ -190,7 +191,23 @@
   parser.RecordErrorsTo(&errors);
   if (!parser.ParseFromString(text, &message)) throw SettingsError(file + ": " + errors.first);
   OperatorChoices out{message.headroom_share(), message.idle_return_s(), message.headroom_machines(),
-                      message.manage_fleet()};
+                      message.manage_fleet(), std::nullopt};
+  if (message.has_kubernetes()) {
+    KubernetesChoices k{message.kubernetes().listen(), {}};
+    if (k.listen.rfind("127.", 0) != 0)
+      throw SettingsError(file + ": kubernetes.listen: has to be on loopback (127.x.y.z:port)");
+    for (const auto& n : message.kubernetes().namespace_()) {
+      bool good = !n.name().empty() && n.name().size() <= 63 &&
+                  n.name().find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string::npos;
+      if (!good) throw SettingsError(file + ": kubernetes.namespace: not a name: '" + n.name() + "'");
+      if (n.team().empty())
+        throw SettingsError(file + ": kubernetes.namespace " + n.name() + ": team is missing");
+      if (!k.teams.emplace(n.name(), n.team()).second)
+        throw SettingsError(file + ": kubernetes.namespace " + n.name() + ": given twice");
+    }
+    if (k.teams.empty()) throw SettingsError(file + ": kubernetes.namespace: none is given");
+    out.kubernetes = std::move(k);
+  }
   if (!(out.headroom_share >= 0 && out.headroom_share <= 10))
     throw SettingsError(file + ": headroom_share: out of range (0 to 10)");
   if (out.headroom_machines < 0 || out.headroom_machines > 1000)
@@ -199,6 +216,14 @@
   return out;
 }
 
+void check_choices(const OperatorChoices& choices, const Settings& settings) {
+  if (!choices.kubernetes) return;
+  for (const auto& [space, team] : choices.kubernetes->teams)
+    if (std::none_of(settings.teams.begin(), settings.teams.end(),
+                     [&](const Team& t) { return t.name == team; }))
+      throw SettingsError("kubernetes.namespace " + space + ": there is no team '" + team + "'");
+}
+
 OperatorChoices load_operator(const std::string& file) {
   if (file.empty()) return parse_operator("", "defaults");
   return parse_operator(slurp(file), file);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -2,6 +2,7 @@
 // unknown fields refused).
 #pragma once
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -41,15 +42,24 @@
   int max_connections = 1024;
 };
 
+/// Where Kubernetes-style clients are served, and which team each of their namespaces is.
+struct KubernetesChoices {
+  std::string listen;
+  std::map<std::string, std::string> teams;
+};
+
 struct OperatorChoices {
   double headroom_share = 0, idle_return_s = 0;
   int headroom_machines = 0;
   bool manage_fleet = true;
+  std::optional<KubernetesChoices> kubernetes = {};
 };
 
 Settings parse_settings(const std::string& text, const std::string& file);
 Settings load_settings(const std::string& file);
 OperatorChoices parse_operator(const std::string& text, const std::string& file);
+/// What the operators say about the platform's teams has to be about teams that there are.
+void check_choices(const OperatorChoices& choices, const Settings& settings);
 /// An empty name gives the defaults.
 OperatorChoices load_operator(const std::string& file);
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -15,6 +15,8 @@
   void stop(std::function<void()> done);
   int port() const { return gateway_.port(); }
   bool leading() const { return leader_.leading(); }
+  StateClient& state() { return state_; }
+  Gateway& gateway() { return gateway_; }
 
  private:
   void settle(double since, std::function<void()> done);
--- a/src/controller/gateway.cc
+++ b/src/controller/gateway.cc
@@ -184,8 +184,17 @@
 
 std::size_t Gateway::record_room() const { return static_cast<std::size_t>(settings_.next.value_kb * 1024); }
 
+Json Gateway::job_record(const JobSpec& job) {
+  return {{"j", codec::job_to_wire(job)}, {"c", 0}, {"t", wall_now()}};
+}
+
+void Gateway::note_cancelled(const std::string& job) {
+  remember_final(job, "cancelled", 0);
+  peers_.accepted_cancel(job);
+}
+
 void Gateway::store(Id id, std::shared_ptr<JobSpec> job, int tries) {
-  Json record = {{"j", codec::job_to_wire(*job)}, {"c", 0}, {"t", wall_now()}};
+  Json record = job_record(*job);
   // Before the upgrade is over another version reads only whole records, and such are still taken; nothing
   // that awaits others is submitted then.
   auto room = job->awaits.empty() ? static_cast<std::size_t>(settings_.value_kb * 1024) : record_room();
@@ -310,8 +319,7 @@
                {std::move(mark), {kFinals + job, std::move(end), 0}},
                [this, id, job, tries, beside](StateReply reply) {
                  if (reply.ok()) {
-                   remember_final(job, "cancelled", 0);
-                   peers_.accepted_cancel(job);
+                   note_cancelled(job);
                    return answer(id, 200, codec::view_to_wire({job, "cancelled", 0, 0, ""}, false));
                  }
                  if (reply.status == StateStatus::Conflict && tries > 1)
--- a/src/controller/gateway.h
+++ b/src/controller/gateway.h
@@ -34,6 +34,21 @@
   bool state_ok() const;
   int port() const { return server_.port(); }
 
+  // --- for other interfaces to the same jobs ---
+  bool closing() const { return closing_; }
+  /// Whether machine types are known; without them nothing can be accepted.
+  bool types_known() const { return !catalog_.types().empty(); }
+  /// Why a job can never run here; empty if it can.
+  std::string refusal(const JobSpec& job) const;
+  /// Bytes that a record may take, now and after the limits have fallen.
+  std::size_t record_room() const;
+  /// What a new job's record holds.
+  static codec::Json job_record(const JobSpec& job);
+  /// A job that the store says is in this phase, with what is known of its tasks.
+  codec::JobView display(const std::string& job, const std::string& phase) const;
+  /// Its end was stored by another interface: the leader is told.
+  void note_cancelled(const std::string& job);
+
  private:
   using Id = http::Server::ConnectionId;
   void serve(Id id, http::Request request);
@@ -47,16 +62,13 @@
   /// Once accepted, a job stays so: what was read or stored need not be read again.
   void note_accepted(const std::string& job);
   void known_or(Id id, const std::string& job, int status, const std::string& why);
-  std::size_t record_room() const;
   /// Reads a job's record, then its end; `then` gets the phase, or an empty text for a job never accepted.
   void lookup(Id id, const std::string& job,
               std::function<void(std::string phase, std::uint64_t version, codec::Json record)> then);
   void query(Id id, const std::string& job);
   void cancel(Id id, const std::string& job, int tries, bool beside = false);
   void report(Id id, const std::string& body);
-  std::string refusal(const JobSpec& job) const;
   void remember_final(const std::string& job, const std::string& phase, int tasks);
-  codec::JobView display(const std::string& job, const std::string& phase) const;
 
   Settings settings_;
   StateClient& state_;
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -55,10 +55,14 @@
       return "Created";
     case 400:
       return "Bad Request";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 421:
@@ -118,7 +122,7 @@
 void Parser::reset() {
   stage_ = Stage::Head;
   scanned_ = length_ = 0;
-  method.clear(), target.clear(), body.clear();
+  method.clear(), target.clear(), body.clear(), content_type.clear(), accept.clear();
   status = 0;
   keep_alive = true;
 }
@@ -171,6 +175,10 @@
     } else if (equal_nocase(name, "connection")) {
       if (equal_nocase(value, "close")) keep_alive = false;
       if (equal_nocase(value, "keep-alive")) keep_alive = true;
+    } else if (equal_nocase(name, "content-type")) {
+      content_type = value;
+    } else if (equal_nocase(name, "accept")) {
+      accept = value;
     }
   }
   // Guards against smuggling: two ways to tell one length would let two readers disagree.
@@ -264,7 +272,14 @@
 
 std::string serialize(const Response& r, bool keep_alive) {
   std::string out = "HTTP/1.1 " + std::to_string(r.status) + " " + phrase(r.status) + "\r\n";
-  out += "Content-Type: application/msgpack\r\nContent-Length: " + std::to_string(r.body.size()) + "\r\n";
+  out += std::string("Content-Type: ") + r.content_type +
+         "\r\nContent-Length: " + std::to_string(r.body.size()) + "\r\n";
+  for (const auto& w : r.warnings) {
+    out += "Warning: 299 - \"";
+    for (char c : w)
+      if (c >= ' ' && c < 127) out += (c == '"' || c == '\\') ? "'" : std::string(1, c);
+    out += "\"\r\n";
+  }
   if (r.retry_after_s > 0) out += "Retry-After: " + std::to_string(r.retry_after_s) + "\r\n";
   if (!keep_alive) out += "Connection: close\r\n";
   out += "\r\n";
@@ -384,7 +399,9 @@
   }
   c.serving = true;
   c.keep = c.parser.keep_alive;
-  Request request{std::move(c.parser.method), std::move(c.parser.target), std::move(c.parser.body), c.keep};
+  Request request{std::move(c.parser.method),       std::move(c.parser.target),
+                  std::move(c.parser.body),         c.keep,
+                  std::move(c.parser.content_type), std::move(c.parser.accept)};
   c.parser.reset();
   handler_(id, std::move(request));
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -17,12 +17,15 @@
 struct Request {
   std::string method, target, body;
   bool keep_alive = true;
+  std::string content_type = {}, accept = {};  // as sent, empty if not
 };
 struct Response {
   int status = 200;
   std::string body;
   int retry_after_s = 0;
   bool close = false;
+  const char* content_type = "application/msgpack";
+  std::vector<std::string> warnings = {};  // RFC 9111's Warning with code 299; printable ASCII only
 };
 
 /// Incremental; feed() takes any split of the bytes.
@@ -37,7 +40,7 @@
   void reset();
 
   int error_status() const { return error_; }  // 400, 413, 431 or 501 after Bad
-  std::string method, target, body;
+  std::string method, target, body, content_type, accept;
   int status = 0;
   bool keep_alive = true;
   bool idle() const { return stage_ == Stage::Head && buffer_.empty(); }
--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -6,6 +6,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "api.h"
+#include "constants.h"
 #include "controller.h"
 
 int main(int argc, char** argv) {
@@ -27,12 +29,19 @@
   try {
     auto settings = corkmux::load_settings(config);
     auto choices = corkmux::load_operator(operator_file);
+    corkmux::check_choices(choices, settings);
     if (check) {
       std::cout << "settings are good\n";
       return 0;
     }
     corkmux::Loop loop;
+    if (choices.kubernetes) settings.max_connections -= corkmux::constants::kKubeConnections;
     corkmux::Controller controller(loop, settings, choices);
+    std::optional<corkmux::kube::Api> kubernetes;
+    if (choices.kubernetes) {
+      kubernetes.emplace(loop, *choices.kubernetes, controller.state(), controller.gateway());
+      spdlog::info("serves Kubernetes-style clients on 127.0.0.1:{}", kubernetes->port());
+    }
     controller.start();
     int status = 0;
     bool ending = false;
@@ -42,6 +51,7 @@
         return loop.stop();
       }
       ending = true;
+      if (kubernetes) kubernetes->close();
       spdlog::info("ending in order: signal {}; a second one ends at once", signal);
       controller.stop([&] {
         spdlog::info("ended in order");
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -77,5 +77,26 @@
   EXPECT_THROW(load_operator("/nonexistent/file"), SettingsError);
 }
 
+TEST(Operator, KubernetesNamespacesAreCheckedBeforeAnythingStarts) {
+  auto parse = [](const std::string& inside) { return parse_operator("kubernetes { " + inside + " }", "o"); };
+  const std::string listen = "listen: '127.0.0.1:0' ", space = "namespace { name: 'default' team: 'x' } ";
+  auto good = parse(listen + space);
+  ASSERT_TRUE(good.kubernetes);
+  EXPECT_EQ(good.kubernetes->teams.at("default"), "x");
+  Settings settings;
+  EXPECT_THROW(check_choices(good, settings), SettingsError) << "no such team";
+  settings.teams = {{"x", 1, 0, 0, 0}};
+  EXPECT_NO_THROW(check_choices(good, settings));
+  // Without tokens nobody beyond this machine may reach it.
+  EXPECT_THROW(parse("listen: '0.0.0.0:80' " + space), SettingsError);
+  EXPECT_THROW(parse(space), SettingsError);
+  EXPECT_THROW(parse(listen), SettingsError);
+  EXPECT_THROW(parse(listen + space + space), SettingsError);
+  EXPECT_THROW(parse(listen + "namespace { name: 'a/b' team: 'x' }"), SettingsError);
+  EXPECT_THROW(parse(listen + "namespace { name: 'a' }"), SettingsError);
+  EXPECT_TRUE(load_operator(KUBERNETES_EXAMPLE).kubernetes);
+  EXPECT_FALSE(load_operator("").kubernetes) << "off unless asked for";
+}
+
 }  // namespace
 }  // namespace corkmux
