Watches of the Kubernetes API: each change once, in order, taken up through any controller

Change: Feed follows objects and ends of jobs from a controller's start and tells of a revision once both have got that far. The server answers in parts where asked to.

Measured (loopback, stand-ins): events of creation, end and deletion through two controllers each once and in order, and exactly the rest when taken up in the middle; forgotten history ends all watches as Expired; of two watchers of 900 objects of 13 KB the one that does not read is ended, the other loses nothing. The Python client library watches a namespace to completion.

Ruled out: a queue per watcher of 256 KiB (a burst of one poll ended readers that keep up); a watch of the state service per client (twice its rate at 500).

--- a/src/kube/api.cc
+++ b/src/kube/api.cc
@@ -61,14 +61,20 @@
 
 }  // namespace
 
-Api::Api(Loop& loop, const KubernetesChoices& choices, StateClient& state, Gateway& gateway)
+int Api::connections(const Settings& settings) {
+  return std::max(8, std::min(c::kKubeConnections, settings.max_connections / c::kKubeShare));
+}
+
+Api::Api(Loop& loop, const Settings& settings, const KubernetesChoices& choices, StateClient& state,
+         Gateway& gateway)
     : Actor(loop),
       teams_(choices.teams),
       state_(state),
       gateway_(gateway),
       rng_(std::random_device{}()),
-      server_(loop, choices.listen, c::kKubeConnections,
-              [this](Id id, http::Request r) { serve(id, std::move(r)); }) {}
+      server_(loop, choices.listen, static_cast<std::size_t>(connections(settings)),
+              [this](Id id, http::Request r) { serve(id, std::move(r)); }),
+      feed_(loop, state, server_) {}
 
 // ---------------------------------------------------------------- answers
 
@@ -171,7 +177,7 @@
                       {"singularName", "job"},
                       {"namespaced", true},
                       {"kind", "Job"},
-                      {"verbs", {"create", "delete", "get", "list"}}}}}});
+                      {"verbs", {"create", "delete", "get", "list", "watch"}}}}}});
   if (!gateway_.state_ok() || !gateway_.types_known()) return unavailable(call, "not ready");
   server_.respond(call->id, {200, "ok", 0, false, "text/plain", {}});
 }
@@ -182,10 +188,10 @@
   if (!call->name.empty() && !valid_name(call->name))
     return fail(call, {404, "NotFound", "jobs.batch \"" + call->name + "\" not found", "", "", {}, ""});
   const std::string& m = call->method;
-  if (call->query.count("watch") && call->query["watch"] != "false" && call->query["watch"] != "0")
-    return fail(call, {405, "MethodNotAllowed", "watching is not served yet: read again", "", "", {}, ""});
+  auto flag = call->query.find("watch");
+  const bool watches = flag != call->query.end() && flag->second != "false" && flag->second != "0";
   if (call->name.empty() && m == "POST") return create(call);
-  if (call->name.empty() && m == "GET") return list(call);
+  if (call->name.empty() && m == "GET") return watches ? watch(call) : list(call);
   if (!call->name.empty() && m == "GET") return get(call);
   if (!call->name.empty() && m == "DELETE") return remove(call);
   fail(call, {405, "MethodNotAllowed", m + " is not served here", "", "", {}, ""});
@@ -360,36 +366,44 @@
   });
 }
 
-/// Page after page of records from where the last answer ended, those that the selectors keep; then how each
-/// of their jobs stands, a few at a time.
-void Api::list(const CallPtr& call) {
-  struct Listing {
-    std::vector<Requirement> labels;
-    std::string only;  // the name that a field selector asks for
-    std::size_t most = c::kKubePage;
-    std::vector<std::pair<Stored, std::uint64_t>> kept;
-    std::vector<Json> objects;
-    std::string last;
-    std::uint64_t revision = 0;
-    int looked = 0, reading = 0;
-    std::size_t next = 0;
-    bool more = false, failed = false;
-    std::function<void()> pages, progress;
+struct Api::Listing {
+  Feed::Watch filter;
+  std::size_t most = c::kKubePage;
+  std::vector<std::pair<Stored, std::uint64_t>> kept;
+  std::vector<Json> objects;
+  std::string last;  // key of the last record looked at
+  std::uint64_t revision = 0;
+  int looked = 0, reading = 0;
+  std::size_t next = 0;
+  bool more = false, failed = false;
+  std::function<void()> pages, progress;
+};
+
+bool Api::read_selectors(const CallPtr& call, Feed::Watch& into) {
+  auto bad = [&](const std::string& why) {
+    fail(call, {400, "BadRequest", why, "", "", {}, ""});
+    return false;
   };
-  auto l = std::make_shared<Listing>();
-  const std::string prefix = kKubeObjects + call->space + "/jobs/";
-  auto bad = [&](const std::string& why) { fail(call, {400, "BadRequest", why, "", "", {}, ""}); };
+  into.space = call->space;
   auto labels = parse_selector(call->query["labelSelector"]);
   if (!labels) return bad("labelSelector: not a selector");
-  l->labels = std::move(*labels);
+  into.labels = std::move(*labels);
   auto fields = parse_selector(call->query["fieldSelector"]);
   if (!fields) return bad("fieldSelector: not a selector");
   for (const auto& f : *fields) {
     bool one = f.op == Requirement::Op::In && f.values.size() == 1;
     if (one && f.key == "metadata.namespace" && f.values[0] == call->space) continue;
     if (!one || f.key != "metadata.name") return bad("fieldSelector: only metadata.name= is known");
-    l->only = f.values[0];
+    into.only = f.values[0];
   }
+  return true;
+}
+
+void Api::list(const CallPtr& call) {
+  auto l = std::make_shared<Listing>();
+  if (!read_selectors(call, l->filter)) return;
+  const std::string prefix = kKubeObjects + call->space + "/jobs/";
+  auto bad = [&](const char* why) { fail(call, {400, "BadRequest", why, "", "", {}, ""}); };
   if (auto limit = call->query["limit"]; !limit.empty()) {
     if (limit.size() > 9 || limit.find_first_not_of("0123456789") != std::string::npos)
       return bad("limit: not a number");
@@ -399,22 +413,65 @@
     if (!valid_name(from)) return bad("continue: not from an answer to a list");
     l->last = prefix + from;
   }
+  list_objects(call, l, [this, call, prefix](Listing& done) {
+    Json metadata = {{"resourceVersion", std::to_string(done.revision)}};
+    if (done.more) metadata["continue"] = done.last.substr(prefix.size());
+    if (call->table) return answer(call, 200, job_table(done.objects, metadata, wall_now()));
+    answer(
+        call, 200,
+        {{"kind", "JobList"}, {"apiVersion", "batch/v1"}, {"metadata", metadata}, {"items", done.objects}});
+  });
+}
+
+/// From a revision on; or first what there is, read as a list is, and then what follows.
+void Api::watch(const CallPtr& call) {
+  auto l = std::make_shared<Listing>();
+  Feed::Watch& w = l->filter;
+  if (!read_selectors(call, w)) return;
+  auto bad = [&](const char* why) { fail(call, {400, "BadRequest", why, "", "", {}, ""}); };
+  auto number = [&](const char* name) -> std::optional<std::uint64_t> {
+    auto text = call->query[name];
+    if (text.size() > 18 || text.find_first_not_of("0123456789") != std::string::npos) return std::nullopt;
+    return text.empty() ? 0 : std::stoull(text);
+  };
+  auto after = number("resourceVersion"), seconds = number("timeoutSeconds");
+  if (!after) return bad("resourceVersion: not from an answer");
+  if (!seconds) return bad("timeoutSeconds: not a number");
+  if (call->query.count("sendInitialEvents")) return bad("sendInitialEvents is not served");
+  w.after = *after;
+  w.bookmarks = call->query["allowWatchBookmarks"] == "true";
+  double life = *seconds > 0 ? static_cast<double>(*seconds) : c::kKubeWatchLife;
+  w.until = steady_now() + std::min(life, c::kKubeWatchLife);
+  auto begin = [this, call] { server_.begin(call->id, {200, "", 0, false, kJsonType, {}}); };
+  if (w.after) {
+    begin();
+    return feed_.watch(call->id, std::move(w));
+  }
+  list_objects(call, l, [this, call, begin](Listing& done) {
+    begin();
+    // As long as the list itself would be, which is bounded.
+    for (const auto& object : done.objects)
+      if (!server_.part(call->id, Feed::line("ADDED", object))) return;
+    done.filter.after = done.revision;
+    feed_.watch(call->id, std::move(done.filter));
+  });
+}
+
+/// Page after page of records from where the last answer ended, those that the selectors keep; then how each
+/// of their jobs stands, a few at a time.
+void Api::list_objects(const CallPtr& call, std::shared_ptr<Listing> l, std::function<void(Listing&)> then) {
+  const std::string prefix = kKubeObjects + call->space + "/jobs/";
   auto unavailable_once = [this, call, l] {
     if (std::exchange(l->failed, true)) return;
     l->pages = l->progress = nullptr;
     unavailable(call, "the state service cannot be read now");
   };
-  auto done = [this, call, l, prefix] {
-    l->pages = l->progress = nullptr;
-    Json metadata = {{"resourceVersion", std::to_string(l->revision)}};
-    if (l->more) metadata["continue"] = l->last.substr(prefix.size());
-    if (call->table) return answer(call, 200, job_table(l->objects, metadata, wall_now()));
-    answer(call, 200,
-           {{"kind", "JobList"}, {"apiVersion", "batch/v1"}, {"metadata", metadata}, {"items", l->objects}});
-  };
-  l->progress = [this, call, l, done, unavailable_once] {
+  l->progress = [this, call, l, then, unavailable_once] {
     if (l->failed) return;
-    if (l->next == l->kept.size() && l->reading == 0) return done();
+    if (l->next == l->kept.size() && l->reading == 0) {
+      l->pages = l->progress = nullptr;
+      return then(*l);
+    }
     while (l->next < l->kept.size() && l->reading < c::kKubeReads) {
       std::size_t i = l->next++;
       ++l->reading;
@@ -428,29 +485,31 @@
     }
   };
   l->pages = [this, l, prefix, unavailable_once] {
-    state_.list(prefix, l->last, static_cast<int>(l->most), [l, unavailable_once](StateReply reply) {
-      if (!reply.ok()) return unavailable_once();
-      auto page = codec::parse_page(reply.body);
-      if (!l->revision) l->revision = page.revision;
-      l->more = page.more;
-      for (std::size_t i = 0; i < page.items.size(); ++i) {
-        auto& kv = page.items[i];
-        l->last = kv.key;
-        ++l->looked;
-        auto stored = from_record(kv.value);
-        if (!stored || !selects(l->labels, labels_of(stored->metadata))) continue;
-        if (!l->only.empty() && stored->metadata.value("name", "") != l->only) continue;
-        l->kept.emplace_back(std::move(*stored), kv.version);
-        if (l->kept.size() == l->most) {
-          l->more |= i + 1 < page.items.size();
-          break;
-        }
-      }
-      bool enough = l->kept.size() == l->most || l->looked >= c::kKubeScan;
-      if (l->more && !enough) return std::function<void()>(l->pages)();
-      l->objects.resize(l->kept.size());
-      std::function<void()>(l->progress)();
-    });
+    state_.list(prefix, l->last, static_cast<int>(std::min(l->most, c::kKubePage)),
+                [l, unavailable_once](StateReply reply) {
+                  if (!reply.ok()) return unavailable_once();
+                  auto page = codec::parse_page(reply.body);
+                  if (!l->revision) l->revision = page.revision;
+                  l->more = page.more;
+                  for (std::size_t i = 0; i < page.items.size(); ++i) {
+                    auto& kv = page.items[i];
+                    l->last = kv.key;
+                    ++l->looked;
+                    auto stored = from_record(kv.value);
+                    if (!stored || !selects(l->filter.labels, labels_of(stored->metadata))) continue;
+                    if (!l->filter.only.empty() && stored->metadata.value("name", "") != l->filter.only)
+                      continue;
+                    l->kept.emplace_back(std::move(*stored), kv.version);
+                    if (l->kept.size() == l->most) {
+                      l->more |= i + 1 < page.items.size();
+                      break;
+                    }
+                  }
+                  bool enough = l->kept.size() == l->most || l->looked >= c::kKubeScan;
+                  if (l->more && !enough) return std::function<void()>(l->pages)();
+                  l->objects.resize(l->kept.size());
+                  std::function<void()>(l->progress)();
+                });
   };
   std::function<void()>(l->pages)();
 }
--- a/src/kube/api.h
+++ b/src/kube/api.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 
+#include "feed.h"
 #include "gateway.h"
 #include "objects.h"
 #include "selector.h"
@@ -14,8 +15,15 @@
 class Api : public Actor<Api> {
  public:
   /// Throws std::runtime_error when the address cannot be had.
-  Api(Loop& loop, const KubernetesChoices& choices, StateClient& state, Gateway& gateway);
-  void close() { server_.close(); }
+  Api(Loop& loop, const Settings& settings, const KubernetesChoices& choices, StateClient& state,
+      Gateway& gateway);
+  /// Sockets that it may use of those for users.
+  static int connections(const Settings& settings);
+  void start() { feed_.start(); }
+  void close() {
+    server_.close();
+    feed_.close();
+  }
   bool busy() const { return server_.busy(); }
   int port() const { return server_.port(); }
 
@@ -46,6 +54,12 @@
              const std::vector<std::string>& warnings);
   void get(const CallPtr& call);
   void list(const CallPtr& call);
+  /// false: answered, since something of the request is wrong.
+  bool read_selectors(const CallPtr& call, Feed::Watch& into);
+  void watch(const CallPtr& call);
+  struct Listing;
+  void list_objects(const CallPtr& call, std::shared_ptr<Listing> listing,
+                    std::function<void(Listing&)> then);
   void remove(const CallPtr& call);
   /// Reads an object's record and how its job stands; not called for one that there is not, or cannot be
   /// read.
@@ -63,6 +77,7 @@
   Gateway& gateway_;
   std::mt19937_64 rng_;
   http::Server server_;
+  Feed feed_;
 };
 
 }  // namespace corkmux::kube
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -270,10 +270,11 @@
   return stage_ == Stage::Done ? State::Done : State::Bad;
 }
 
-std::string serialize(const Response& r, bool keep_alive) {
+std::string serialize(const Response& r, bool keep_alive, bool in_parts) {
   std::string out = "HTTP/1.1 " + std::to_string(r.status) + " " + phrase(r.status) + "\r\n";
-  out += std::string("Content-Type: ") + r.content_type +
-         "\r\nContent-Length: " + std::to_string(r.body.size()) + "\r\n";
+  out += std::string("Content-Type: ") + r.content_type + "\r\n";
+  out += in_parts ? "Transfer-Encoding: chunked\r\n"
+                  : "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
   for (const auto& w : r.warnings) {
     out += "Warning: 299 - \"";
     for (char c : w)
@@ -296,7 +297,7 @@
   std::unique_ptr<Io> io;
   std::string out, waiting;
   std::size_t offset = 0;
-  bool serving = false, closing = false, keep = true;
+  bool serving = false, closing = false, keep = true, in_parts = false;
   double last = steady_now();
 };
 
@@ -329,7 +330,7 @@
 
 bool Server::busy() const {
   return std::any_of(connections_.begin(), connections_.end(), [](const auto& e) {
-    return e.second->serving || e.second->offset < e.second->out.size();
+    return !e.second->in_parts && (e.second->serving || e.second->offset < e.second->out.size());
   });
 }
 
@@ -422,6 +423,41 @@
   advance(c, more);
 }
 
+void Server::begin(ConnectionId id, const Response& head) {
+  auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  it->second->in_parts = true;
+  it->second->out += serialize(head, false, true);
+  flush(*it->second);
+}
+
+bool Server::part(ConnectionId id, std::string_view bytes) {
+  auto it = connections_.find(id);
+  if (it == connections_.end()) return false;
+  if (bytes.empty()) return true;
+  char size[20];
+  auto end = std::to_chars(size, size + sizeof size, bytes.size(), 16).ptr;
+  Connection& c = *it->second;
+  c.out.append(size, end).append("\r\n").append(bytes).append("\r\n");
+  flush(c);
+  return connected(id);
+}
+
+void Server::end(ConnectionId id) {
+  auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  Connection& c = *it->second;
+  c.out += "0\r\n\r\n";
+  c.serving = c.in_parts = false, c.closing = true;
+  c.last = steady_now();
+  flush(c);
+}
+
+std::size_t Server::unsent(ConnectionId id) const {
+  auto it = connections_.find(id);
+  return it == connections_.end() ? 0 : it->second->out.size() - it->second->offset;
+}
+
 void Server::flush(Connection& c) {
   switch (write_some(c.fd.get(), c.out, c.offset)) {
     case Io1::Closed:
@@ -439,7 +475,8 @@
 void Server::sweep() {
   double now = steady_now();
   for (auto it = connections_.begin(); it != connections_.end();)
-    it = now - it->second->last > constants::kIdleConnection ? connections_.erase(it) : std::next(it);
+    it = !it->second->in_parts && now - it->second->last > constants::kIdleConnection ? connections_.erase(it)
+                                                                                      : std::next(it);
 }
 
 struct Client::Connection {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -57,7 +57,8 @@
   int error_ = 400;
 };
 
-std::string serialize(const Response& response, bool keep_alive);
+/// In parts: the head only, its body is to follow in chunks.
+std::string serialize(const Response& response, bool keep_alive, bool in_parts = false);
 
 /// Owns a file descriptor.
 class Fd {
@@ -80,9 +81,17 @@
   Server(Loop& loop, const std::string& address, std::size_t max_connections, Handler handler);
   ~Server();
   void respond(ConnectionId id, const Response& response);
+  /// An answer in parts: its head, then any number of parts, then its end, with which the connection closes.
+  void begin(ConnectionId id, const Response& head);
+  /// false: the caller is gone.
+  bool part(ConnectionId id, std::string_view bytes);
+  void end(ConnectionId id);
+  bool connected(ConnectionId id) const { return connections_.count(id) > 0; }
+  /// Bytes of it that the caller has not taken yet.
+  std::size_t unsent(ConnectionId id) const;
   /// Takes no new connections; open ones close with their next answer.
   void close();
-  /// Whether a request waits for its answer, or an answer to be sent.
+  /// Whether a request waits for its answer, or an answer to be sent; such in parts not counted.
   bool busy() const;
   int port() const { return port_; }
   std::size_t connections() const { return connections_.size(); }
--- a/src/store/state_client.cc
+++ b/src/store/state_client.cc
@@ -13,7 +13,7 @@
 
 StateClient::StateClient(Loop& loop, const std::string& address)
     : requests_(loop, address, c::kStateConnections, 256),
-      watches_(loop, address, 4, 8),
+      watches_(loop, address, 6, 8),
       grants_(loop, address, 1, 8),  // renewals never queue behind other requests
       outage_("the state service", address) {
   for (auto* client : {&requests_, &grants_})
--- a/tests/kube_client.py
+++ b/tests/kube_client.py
@@ -3,7 +3,7 @@
 import time
 
 import yaml
-from kubernetes import client, utils
+from kubernetes import client, utils, watch
 from kubernetes.client.exceptions import ApiException
 
 TWO_DOCUMENTS = """
@@ -109,6 +109,16 @@
         time.sleep(0.1)
     assert now.status.succeeded == 3 and now.status.completion_time and now.metadata.uid == made.metadata.uid
 
+    types, done = [], set()
+    for event in watch.Watch().stream(batch.list_namespaced_job, "second", timeout_seconds=50):
+        types.append(event["type"])
+        job_seen = event["object"]
+        if any(c.type == "Complete" for c in job_seen.status.conditions or []):
+            done.add(job_seen.metadata.name)
+        if done == {"one", "from-file-too"}:
+            break
+    assert done and types[:2] == ["ADDED", "ADDED"], (done, types)
+
     batch.delete_namespaced_job("one", "default", propagation_policy="Background")
     refused(404, "NotFound", batch.read_namespaced_job, "one", "default")
     refused(404, "NotFound", batch.delete_namespaced_job, "one", "default")
--- a/tests/kube_test.cc
+++ b/tests/kube_test.cc
@@ -1,8 +1,12 @@
 // Jobs of the Kubernetes API: what their fields become, hostile input, and whole controllers with the Python
 // client library against the stand-ins.
+#include <netinet/in.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 
+#include <sstream>
+
 #include "api.h"
 #include "quantity.h"
 #include "selector.h"
@@ -234,9 +238,12 @@
 class KubeSite : public Site {
  protected:
   void serve(const std::string& label) {
+    Settings settings;
     KubernetesChoices choices{"127.0.0.1:0", {{"default", "x"}, {"second", "x"}}};
     auto& controller = *controllers.at(label);
-    apis[label] = std::make_unique<kube::Api>(loop, choices, controller.state(), controller.gateway());
+    apis[label] =
+        std::make_unique<kube::Api>(loop, settings, choices, controller.state(), controller.gateway());
+    apis[label]->start();
     users[label] =
         std::make_unique<http::Client>(loop, "127.0.0.1:" + std::to_string(apis[label]->port()), 8, 100);
   }
@@ -368,6 +375,163 @@
   EXPECT_EQ(stored(kKubeObjects), 1u);
 }
 
+/// A watch as the wire gives it: the lines of a chunked answer, read from a socket of its own.
+class Watcher {
+ public:
+  Watcher(Loop& loop, int port, const std::string& query, int window = 0)
+      : fd_(::socket(AF_INET, SOCK_STREAM, 0)),
+        parser_(http::Parser::Mode::Response, 1 << 24),
+        io_(loop, fd_.get(), [this](int) { take(); }) {
+    if (window) ::setsockopt(fd_.get(), SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    sockaddr_in to{};
+    to.sin_family = AF_INET, to.sin_port = htons(static_cast<std::uint16_t>(port));
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::connect(fd_.get(), reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    std::string text =
+        "GET /apis/batch/v1/namespaces/default/jobs?watch=true" + query + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    EXPECT_EQ(::send(fd_.get(), text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
+    io_.want(EV_READ);
+  }
+  /// Type, name and revision of each event but bookmarks.
+  std::vector<std::string> events() const {
+    std::vector<std::string> out;
+    std::istringstream lines(parser_.body);
+    for (std::string line; std::getline(lines, line);) {
+      Json e = Json::parse(line, nullptr, false);
+      if (e.is_discarded() || e["type"] == "BOOKMARK") continue;
+      if (e["type"] == "ERROR")
+        out.push_back("ERROR " + e["object"].value("reason", ""));
+      else
+        out.push_back(e["type"].get<std::string>() + " " + e["object"]["metadata"].value("name", ""));
+    }
+    return out;
+  }
+  std::string revision() const {  // of the last event
+    auto at = parser_.body.rfind("\"resourceVersion\":\"");
+    return at == std::string::npos ? ""
+                                   : parser_.body.substr(at + 19, parser_.body.find('"', at + 19) - at - 19);
+  }
+  bool over() const { return over_; }
+  const std::string& body() const { return parser_.body; }
+  bool begun() const { return !parser_.idle(); }
+  std::size_t lines() const {
+    return static_cast<std::size_t>(std::count(parser_.body.begin(), parser_.body.end(), '\n'));
+  }
+  void pause() { io_.want(0); }
+  void resume() { io_.want(EV_READ); }
+
+ private:
+  void take() {
+    char bytes[65536];
+    auto n = ::recv(fd_.get(), bytes, sizeof bytes, MSG_DONTWAIT);
+    if (n <= 0 || parser_.feed({bytes, static_cast<std::size_t>(n)}) != http::Parser::State::NeedMore) {
+      over_ = true;
+      io_.want(0);
+    }
+  }
+  http::Fd fd_;
+  http::Parser parser_;
+  Io io_;
+  bool over_ = false;
+};
+
+using Events = std::vector<std::string>;
+
+// From creation to end and deletion, each once and in order; taken up through another controller where the
+// first one stopped, without a gap or a repeat.
+TEST_F(KubeSite, AWatchTellsEachChangeOnceAndIsTakenUpThroughAnotherController) {
+  start_controller("one");
+  start_controller("two");
+  serve("one"), serve("two");
+  add_worker("h-1", "a", 0.2);
+  ready("one"), ready("two");
+  ASSERT_EQ(ask("one", "POST", "", body("before")).first, 201);
+  Watcher all(loop, apis.at("one")->port(), "");
+  ASSERT_TRUE(wait_for([&] { return all.events().size() == 2; })) << all.body();
+  EXPECT_EQ(all.events(), (Events{"ADDED before", "MODIFIED before"}));
+  EXPECT_NE(all.body().find("\"Complete\""), std::string::npos);
+
+  Watcher there(loop, apis.at("two")->port(), "&resourceVersion=" + all.revision());
+  ASSERT_EQ(ask("two", "POST", "", body("next")).first, 201);
+  ASSERT_TRUE(wait_for([&] { return all.events().size() == 4 && there.events().size() == 2; }))
+      << there.body();
+  EXPECT_EQ(there.events(), (Events{"ADDED next", "MODIFIED next"}));
+  ASSERT_EQ(ask("one", "DELETE", "/next").first, 200);
+  ASSERT_EQ(ask("one", "DELETE", "/before").first, 200);
+  ASSERT_TRUE(wait_for([&] { return all.events().size() == 6 && there.events().size() == 4; }));
+  EXPECT_EQ(there.events(), (Events{"ADDED next", "MODIFIED next", "DELETED next", "DELETED before"}));
+  EXPECT_EQ(all.events(), (Events{"ADDED before", "MODIFIED before", "ADDED next", "MODIFIED next",
+                                  "DELETED next", "DELETED before"}));
+  // Taken up in the middle: exactly the rest.
+  auto line = there.body().substr(0, there.body().find('\n'));
+  auto added_at = Json::parse(line)["object"]["metadata"]["resourceVersion"].get<std::string>();
+  Watcher rest(loop, apis.at("one")->port(), "&resourceVersion=" + added_at);
+  ASSERT_TRUE(wait_for([&] { return rest.events().size() == 3; }));
+  EXPECT_EQ(rest.events(), (Events{"MODIFIED next", "DELETED next", "DELETED before"}));
+  // An unfinished job that is deleted was not changed before.
+  ASSERT_EQ(ask("one", "POST", "", body("gone", 8)).first, 201);
+  ASSERT_EQ(ask("one", "DELETE", "/gone").first, 200);
+  ASSERT_TRUE(wait_for([&] { return rest.events().size() == 5; }));
+  EXPECT_EQ(rest.events()[4], "DELETED gone");
+  // Its end is orderly, and so is that of watches whose time is over.
+  Watcher brief(loop, apis.at("two")->port(), "&timeoutSeconds=1&resourceVersion=" + rest.revision());
+  EXPECT_TRUE(wait_for([&] { return brief.over(); }));
+  EXPECT_TRUE(brief.events().empty());
+  apis.at("one")->close();
+  EXPECT_TRUE(wait_for([&] { return all.over() && rest.over(); }));
+}
+
+// Where changes were forgotten a watch says so instead of leaving them out.
+TEST_F(KubeSite, AWatchThatMissedChangesEndsAsExpired) {
+  start_controller("one");
+  serve("one");
+  ready("one");
+  ASSERT_EQ(ask("one", "POST", "", body("a")).first, 201);
+  Watcher w(loop, apis.at("one")->port(), "");
+  ASSERT_TRUE(wait_for([&] { return w.events().size() == 1; }));
+  state.forget_history();
+  state.put(kKubeObjects + "default/jobs/x", Json::object());
+  state.forget_history();
+  ASSERT_TRUE(wait_for([&] { return w.over(); }));
+  EXPECT_EQ(w.events().back(), "ERROR Expired");
+  // And after a fresh list everything goes on.
+  ASSERT_TRUE(wait_for([&] {
+    Watcher again(loop, apis.at("one")->port(), "");
+    wait_for([&] { return !again.events().empty(); }, 2);
+    return again.events() == Events{"ADDED a"};
+  }));
+  Watcher old(loop, apis.at("one")->port(), "&resourceVersion=1");
+  ASSERT_TRUE(wait_for([&] { return old.over(); }));
+  EXPECT_EQ(old.events(), (Events{"ERROR Expired"}));
+}
+
+// Memory is bounded whoever does not read; the others lose nothing, and a burst ends nobody who reads.
+TEST_F(KubeSite, ASlowReaderIsEndedAndTheOthersGoOn) {
+  start_controller("one");
+  serve("one");
+  ready("one");
+  Watcher slow(loop, apis.at("one")->port(), "", 4096), quick(loop, apis.at("one")->port(), "");
+  ASSERT_TRUE(wait_for([&] { return slow.begun() && quick.begun(); }));
+  slow.pause();
+  Json big = Json::parse(body("big"));
+  big["metadata"]["annotations"]["note"] = std::string(13000, 'x');
+  // Kernels keep some megabytes of what nobody reads; then the history passes it by.
+  std::size_t made = 0;
+  while (made < 900) {
+    for (int i = 0; i < 150; ++i) {
+      big["metadata"]["name"] = "big-" + std::to_string(++made);
+      ASSERT_EQ(ask("one", "POST", "", big.dump()).first, 201);
+    }
+    ASSERT_TRUE(wait_for([&] { return quick.lines() == made; }))
+        << made << " made, " << quick.lines() << " told";
+  }
+  EXPECT_FALSE(quick.over());
+  slow.resume();
+  ASSERT_TRUE(wait_for([&] { return slow.over(); }));
+  EXPECT_LT(slow.lines(), made);
+  EXPECT_EQ(slow.events().back(), "ERROR Expired");
+}
+
 // A list is as long as it is, however the state service cuts it into pages.
 TEST_F(KubeSite, ListsAreWholeWhereverAPageEnds) {
   start_controller("one");
