--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -35,13 +35,22 @@
       return 0;
     }
     corkmux::Loop loop;
-    if (choices.kubernetes) settings.max_connections -= corkmux::constants::kKubeConnections;
+    if (choices.kubernetes) settings.max_connections -= corkmux::kube::Api::connections(settings);
     corkmux::Controller controller(loop, settings, choices);
     std::optional<corkmux::kube::Api> kubernetes;
-    if (choices.kubernetes) {
-      kubernetes.emplace(loop, *choices.kubernetes, controller.state(), controller.gateway());
-      spdlog::info("serves Kubernetes-style clients on 127.0.0.1:{}", kubernetes->port());
-    }
+    corkmux::Timer kubernetes_later(loop);
+    // Guards against an address in the operators' file that cannot be had here: the scheduler itself goes on.
+    std::function<void()> open_kubernetes = [&] {
+      try {
+        kubernetes.emplace(loop, settings, *choices.kubernetes, controller.state(), controller.gateway());
+      } catch (const std::runtime_error& e) {
+        spdlog::error("Kubernetes-style clients are not served: {}; tried again", e.what());
+        return kubernetes_later.once(corkmux::constants::kKubeRetry, open_kubernetes);
+      }
+      spdlog::info("serves Kubernetes-style clients on port {}", kubernetes->port());
+      kubernetes->start();
+    };
+    if (choices.kubernetes) open_kubernetes();
     controller.start();
     int status = 0;
     bool ending = false;
@@ -51,6 +60,7 @@
         return loop.stop();
       }
       ending = true;
+      kubernetes_later.stop();
       if (kubernetes) kubernetes->close();
       spdlog::info("ending in order: signal {}; a second one ends at once", signal);
       controller.stop([&] {
--- a/tests/ending_test.cc
+++ b/tests/ending_test.cc
@@ -70,17 +70,19 @@
 
 /// The real program as a child process; its log in a file.
 struct Program {
-  explicit Program(const std::string& settings) {
+  explicit Program(const std::string& settings, const std::string& operators = "") {
     char name[] = "/tmp/corkmux-test-XXXXXX";
     dir = ::mkdtemp(name);
     std::ofstream(dir / "settings.toml") << settings;
-    std::string config = dir / "settings.toml", log = dir / "log";
+    std::ofstream(dir / "operator.textproto") << operators;
+    std::string config = dir / "settings.toml", log = dir / "log", choices = dir / "operator.textproto";
     pid = ::fork();
     if (pid == 0) {
       int fd = ::open(log.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
       ::dup2(fd, 2);
       ::setenv("LOG_LEVEL", "info", 1);
-      ::execl(CORKMUX_PROGRAM, CORKMUX_PROGRAM, "--config", config.c_str(), nullptr);
+      ::execl(CORKMUX_PROGRAM, CORKMUX_PROGRAM, "--config", config.c_str(), "--operator", choices.c_str(),
+              nullptr);
       ::_exit(127);
     }
   }
@@ -124,6 +126,21 @@
   })) << program.log();
 }
 
+// Guards against an optional interface that takes the scheduler down with it: once its address could not be
+// had, every controller ended again and again and nothing ran.
+TEST_F(Site, TheProgramGoesOnWhereTheAddressOfAnotherInterfaceCannotBeHad) {
+  http::Server taken(loop, "127.0.0.1:0", 4, [](http::Server::ConnectionId, http::Request) {});
+  Program program(platform_settings(state.address(), cloud.address()),
+                  "kubernetes { listen: '127.0.0.1:" + std::to_string(taken.port()) +
+                      "' namespace { name: 'default' team: 'x' } }");
+  ASSERT_TRUE(wait_for([&] { return program.log().find("jobs loaded") != std::string::npos; }))
+      << program.log();
+  EXPECT_NE(program.log().find("are not served: cannot listen on"), std::string::npos) << program.log();
+  ::kill(program.pid, SIGTERM);
+  ASSERT_TRUE(wait_for([&] { return program.over(); }, constants::kEndTime + 5));
+  EXPECT_TRUE(WIFEXITED(*program.status) && WEXITSTATUS(*program.status) == 0) << *program.status;
+}
+
 TEST_F(Site, ASecondSignalEndsTheProgramAtOnce) {
   Program program(platform_settings(state.address(), cloud.address()));
   ASSERT_TRUE(wait_for([&] { return program.log().find("jobs loaded") != std::string::npos; }))
