--- a/src/kube/api.cc
+++ b/src/kube/api.cc
@@ -51,14 +51,6 @@
   return out;
 }
 
-std::map<std::string, std::string> labels_of(const Json& metadata) {
-  std::map<std::string, std::string> out;
-  if (auto it = metadata.find("labels"); it != metadata.end() && it->is_object())
-    for (const auto& [name, value] : it->items())
-      if (value.is_string()) out[name] = value.get<std::string>();
-  return out;
-}
-
 }  // namespace
 
 int Api::connections(const Settings& settings) {
@@ -496,7 +488,7 @@
                     l->last = kv.key;
                     ++l->looked;
                     auto stored = from_record(kv.value);
-                    if (!stored || !selects(l->filter.labels, labels_of(stored->metadata))) continue;
+                    if (!stored || !selects(l->filter.labels, labels_of(*stored))) continue;
                     if (!l->filter.only.empty() && stored->metadata.value("name", "") != l->filter.only)
                       continue;
                     l->kept.emplace_back(std::move(*stored), kv.version);
--- a/src/kube/feed.cc
+++ b/src/kube/feed.cc
@@ -17,14 +17,6 @@
   return {key.substr(kKubeObjects.size(), at - kKubeObjects.size()), key.substr(at + middle.size())};
 }
 
-std::map<std::string, std::string> labels_of(const Stored& s) {
-  std::map<std::string, std::string> out;
-  if (auto l = s.metadata.find("labels"); l != s.metadata.end() && l->is_object())
-    for (const auto& [name, value] : l->items())
-      if (value.is_string()) out[name] = value.get<std::string>();
-  return out;
-}
-
 }  // namespace
 
 std::string Feed::line(const char* type, const Json& object) {
--- a/src/kube/objects.cc
+++ b/src/kube/objects.cc
@@ -309,6 +309,14 @@
   return out;
 }
 
+std::map<std::string, std::string> labels_of(const Stored& s) {
+  std::map<std::string, std::string> out;
+  if (auto l = s.metadata.find("labels"); l != s.metadata.end() && l->is_object())
+    for (const auto& [name, value] : l->items())
+      if (value.is_string()) out[name] = value.get<std::string>();
+  return out;
+}
+
 Json to_record(const Stored& s) {
   return {{"f", 1}, {"u", s.uid}, {"j", s.job}, {"t", s.created}, {"m", s.metadata}, {"s", s.spec}};
 }
--- a/src/kube/objects.h
+++ b/src/kube/objects.h
@@ -33,6 +33,7 @@
   double created = 0;    // s since 1970
   Json metadata, spec;   // as submitted; of the metadata name, labels and annotations
 };
+std::map<std::string, std::string> labels_of(const Stored& s);
 Json to_record(const Stored& s);
 /// nullopt: a later version wrote it, or it is no such record.
 std::optional<Stored> from_record(const Json& record);
