--- a/tests/kube_test.cc
+++ b/tests/kube_test.cc
@@ -281,6 +281,7 @@
     EXPECT_EQ(::connect(fd_.get(), reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: x\r\n";
     if (!secret.empty()) text += "Authorization: Bearer " + secret + "\r\n";
+    if (!body.empty() && body[0] != '{') text += "Content-Type: application/yaml\r\n";
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     EXPECT_EQ(::send(fd_.get(), text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
     io_.want(EV_READ);
@@ -361,6 +362,24 @@
 }
 
 // An unanswered create may be stored late. Tried again before or after that, it is one job.
+// docs/kubernetes.md, "For users", as a user would send it.
+TEST_F(KubeSite, TheExampleOfTheUsersPageIsTakenAsYaml) {
+  std::ifstream page(KUBERNETES_PAGE);
+  std::string yaml;
+  for (std::string line; std::getline(page, line);)
+    if (line.rfind("    apiVersion:", 0) == 0 || (!yaml.empty() && line.rfind("    ", 0) == 0))
+      yaml += line.substr(4) + "\n";
+    else if (!yaml.empty())
+      break;
+  start_controller("one");
+  serve("one");
+  ready("one");
+  Raw raw(loop, apis.at("one")->port(), "POST", "/apis/batch/v1/namespaces/default/jobs", "", yaml);
+  ASSERT_TRUE(wait_for([&] { return raw.status() != 0; }));
+  EXPECT_EQ(raw.status(), 201) << yaml;
+  EXPECT_EQ(ask("one", "GET", "/scan-42").second["spec"]["completions"], 8);
+}
+
 // Rights hold per namespace, for reads and for changes; a file that is wrong changes nothing.
 TEST_F(KubeSite, TokensDecideWhoMayReadAndChangeWhat) {
   char name[] = "/tmp/corkmux-test-XXXXXX";
