Requests with nulls or broken keys no longer end a controller

Cause: the feed read `completions` of a stored object as a number; `null` is a field left out and is stored as sent, so it threw, and again at each start. An error that told a duplicate key which is not UTF-8 threw when it was written.

Change: one function reads the number of tasks (it stood three times), answers replace what is not UTF-8.

Measured: a test sends both through a watched controller and starts a second one on the stored object.

--- a/src/kube/api.cc
+++ b/src/kube/api.cc
@@ -85,7 +85,9 @@
 
 void Api::answer(const CallPtr& call, int code, const Json& body, std::vector<std::string> warnings) {
   int retry = code == 503 || code == 429 ? c::kRetryAfter : 0;
-  server_.respond(call->id, {code, body.dump(), retry, false, kJsonType, std::move(warnings)});
+  // What is wrong with a body is told in its own words, which need not be UTF-8.
+  std::string text = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  server_.respond(call->id, {code, std::move(text), retry, false, kJsonType, std::move(warnings)});
 }
 
 void Api::fail(const CallPtr& call, Failure f) {
@@ -328,9 +330,7 @@
   found->stored = std::move(stored), found->version = version;
   found->progress.revision = version;
   const std::string job = found->stored.job;
-  if (auto n = found->stored.spec.find("completions");
-      n != found->stored.spec.end() && n->is_number_integer())
-    found->progress.tasks = n->get<int>();
+  found->progress.tasks = tasks_of(found->stored);
   state_.get(kJobs + job, [this, job, found, then = std::move(then)](StateReply reply) {
     if (!reply.ok() && reply.status != StateStatus::Missing) return then(std::nullopt);
     if (reply.ok()) {
--- a/src/kube/feed.cc
+++ b/src/kube/feed.cc
@@ -56,7 +56,7 @@
         by_job_[stored->job] = kv.key;
         Object& o = known_[kv.key];
         o.stored = std::move(*stored), o.version = o.progress.revision = kv.version;
-        o.progress.tasks = o.stored.spec.value("completions", 1);
+        o.progress.tasks = tasks_of(o.stored);
       },
       [this, generation](const ReadEnd& end) {
         if (generation != generation_) return;
@@ -136,7 +136,7 @@
   by_job_[stored->job] = change.key;
   Object& o = known_[change.key];
   o.stored = std::move(*stored), o.version = o.progress.revision = change.revision;
-  o.progress.tasks = o.stored.spec.value("completions", 1);
+  o.progress.tasks = tasks_of(o.stored);
   tell("ADDED", change.key, o);
 }
 
--- a/src/kube/objects.cc
+++ b/src/kube/objects.cc
@@ -317,6 +317,11 @@
   return out;
 }
 
+int tasks_of(const Stored& s) {
+  auto n = s.spec.find("completions");
+  return n != s.spec.end() && n->is_number_integer() ? n->get<int>() : 1;
+}
+
 Json to_record(const Stored& s) {
   return {{"f", 1}, {"u", s.uid}, {"j", s.job}, {"t", s.created}, {"m", s.metadata}, {"s", s.spec}};
 }
--- a/src/kube/objects.h
+++ b/src/kube/objects.h
@@ -34,6 +34,8 @@
   Json metadata, spec;   // as submitted; of the metadata name, labels and annotations
 };
 std::map<std::string, std::string> labels_of(const Stored& s);
+/// Guards against `null`, which is a field left out and is stored as it was sent.
+int tasks_of(const Stored& s);
 Json to_record(const Stored& s);
 /// nullopt: a later version wrote it, or it is no such record.
 std::optional<Stored> from_record(const Json& record);
--- a/tests/kube_test.cc
+++ b/tests/kube_test.cc
@@ -653,6 +653,27 @@
   EXPECT_EQ(slow.events().back(), "ERROR Expired");
 }
 
+// Guards against requests that end a controller: a null is stored as it was sent, and an error tells a key
+// that is not UTF-8.
+TEST_F(KubeSite, NullsAndBrokenKeysEndNoController) {
+  start_controller("one");
+  serve("one");
+  ready("one");
+  Json object = Json::parse(body("null"));
+  object["spec"]["completions"] = nullptr, object["spec"]["parallelism"] = nullptr;
+  Watcher all(loop, apis.at("one")->port(), "");
+  ASSERT_TRUE(wait_for([&] { return all.begun(); }));
+  ASSERT_EQ(ask("one", "POST", "", object.dump()).first, 201);
+  ASSERT_TRUE(wait_for([&] { return all.events() == Events{"ADDED null"}; })) << all.body();
+  start_controller("two");  // reads it at its start
+  serve("two");
+  ASSERT_TRUE(wait_for([&] { return ask("two", "GET", "/null").second["spec"]["completions"] == 1; }));
+  Raw raw(loop, apis.at("one")->port(), "POST", "/apis/batch/v1/namespaces/default/jobs", "",
+          "\xff: 1\n\xff: 2\n");
+  ASSERT_TRUE(wait_for([&] { return raw.status() != 0; }));
+  EXPECT_EQ(raw.status(), 400);
+}
+
 // A list is as long as it is, however the state service cuts it into pages.
 TEST_F(KubeSite, ListsAreWholeWhereverAPageEnds) {
   start_controller("one");
