--- a/src/book/cluster.cc
+++ b/src/book/cluster.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "constants.h"
+#include "planted.h"
 
 namespace corkmux {
 namespace c = constants;
@@ -322,6 +323,7 @@
 std::vector<std::string> Cluster::lapsed(double now) const {
   std::vector<std::string> out;
   double lease = config_.lease_s * (1 + c::kClockDrift) + c::kProofMargin;
+  if (planted("half a lease counts as a whole one")) lease /= 2;
   std::uint64_t base = term_ << c::kTermShift;
   for (const auto& [name, m] : machines_) {
     if (m.tasks.empty()) continue;
--- a/src/controller/keeper.cc
+++ b/src/controller/keeper.cc
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "constants.h"
+#include "planted.h"
 #include "store_keys.h"
 
 namespace corkmux {
@@ -26,6 +27,7 @@
       read_timer_(loop) {}
 
 bool Keeper::entitled(const std::string& machine) const {
+  if (planted("a keeper answers before its record is stored")) return true;
   return written_.count(machine) && steady_now() - written_at_ < span_ - c::kProofMargin;
 }
 
--- a/src/controller/mail.cc
+++ b/src/controller/mail.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "constants.h"
+#include "planted.h"
 #include "store_keys.h"
 
 namespace corkmux {
@@ -108,7 +109,7 @@
                           ? item.contains("q") ? codec::full_report(item["r"]) : codec::full_answer(item["r"])
                           : item.value("b", Json());
     if (auto q = item.find("q"); q != item.end() && q->is_number_unsigned()) {
-      if (!serving_) continue;
+      if (!serving_ || planted("mail for the leader is not read")) continue;
       deliver_(codec::pack(body),
                [this, from, brief, id = q->get<std::uint64_t>()](int status, std::string answer) {
                  auto parsed = codec::unpack(answer);
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -1,6 +1,7 @@
 #include "election.h"
 
 #include "constants.h"
+#include "planted.h"
 #include "store_keys.h"
 
 namespace corkmux {
@@ -79,7 +80,7 @@
                        } else if (reply.status != StateStatus::Missing) {
                          return retry(c::kElectionRetry);
                        }
-                       ++term_;
+                       if (!planted("a term is used twice")) ++term_;
                        state_.txn(
                            {{kLeaderKey, known_stamp}, {kTermKey, stamp}},
                            {{kLeaderKey, codec::Json{{"label", label_}, {"term", term_}}, grant_},
--- a/src/leader/lease_watch.cc
+++ b/src/leader/lease_watch.cc
@@ -5,6 +5,7 @@
 
 #include "constants.h"
 #include "keeper_record.h"
+#include "planted.h"
 #include "store_keys.h"
 
 namespace corkmux {
@@ -40,7 +41,8 @@
                     asking_ = false;
                     if (!end.ok()) return;
                     double now = steady_now();
-                    for (const auto& [name, until] : *kept) book_.kept(name, until);
+                    if (!planted("keepers are not asked"))
+                      for (const auto& [name, until] : *kept) book_.kept(name, until);
                     auto still = book_.lapsed(now);
                     for (const auto& name : lapsed)
                       if (std::find(still.begin(), still.end(), name) != still.end())
--- /dev/null
+++ b/tests/planted_test.cc
@@ -0,0 +1,56 @@
+// One defect each in election, keeper, lease watch, mail and book: a world must find it, and is good without
+// it. Built from the same sources with CORKMUX_PLANTED.
+#include "planted.h"
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include "world.h"
+
+namespace corkmux::world {
+namespace {
+
+struct Case {
+  const char *defect, *file, *day;
+  int seeds;  // of which one at least has to find it; keepers and mail stand in for each other in most
+};
+
+class Planted : public ::testing::TestWithParam<Case> {
+ protected:
+  void SetUp() override { spdlog::set_level(spdlog::level::off); }
+  void TearDown() override { planted_defect.clear(); }
+  static std::vector<std::string> play(const Plan& plan, std::uint64_t seed, const char* defect) {
+    planted_defect = defect;
+    World world(plan, seed);
+    world.run();
+    return world.problems();
+  }
+};
+
+TEST_P(Planted, IsFoundByAWorldThatIsGoodWithoutIt) {
+  auto plan = load_plan(std::string(WORLDS) + "/" + GetParam().file + ".toml", GetParam().day);
+  bool found = false;
+  for (int seed = 1; seed <= GetParam().seeds && !found; ++seed) {
+    auto wrong = play(plan, static_cast<std::uint64_t>(seed), "");
+    EXPECT_TRUE(wrong.empty()) << "seed " << seed << ": " << wrong.front();
+    found = !play(plan, static_cast<std::uint64_t>(seed), GetParam().defect).empty();
+  }
+  EXPECT_TRUE(found) << GetParam().defect;
+}
+
+std::string part(const ::testing::TestParamInfo<Case>& info) {
+  static const std::vector<std::string> parts = {"election", "keeper", "lease_watch", "mail", "book"};
+  return parts[info.index];
+}
+INSTANTIATE_TEST_SUITE_P(
+    Worlds, Planted,
+    ::testing::Values(Case{"a term is used twice", "forty", "restarts", 10},
+                      Case{"a keeper answers before its record is stored", "scarce", "apart-and-leaders-end",
+                           60},
+                      Case{"keepers are not asked", "scarce", "apart-and-leaders-end", 60},
+                      Case{"mail for the leader is not read", "scarce", "apart", 60},
+                      Case{"half a lease counts as a whole one", "forty", "zone-cut", 10}),
+    part);
+
+}  // namespace
+}  // namespace corkmux::world
