--- a/tests/term_test.cc
+++ b/tests/term_test.cc
@@ -2,13 +2,13 @@
 // answers late, and where the process stood still.
 #include <gtest/gtest.h>
 
+#include "cloud.h"
 #include "cloud_fleet.h"
 #include "job_feed.h"
 #include "keeper_record.h"
 #include "lease_watch.h"
 #include "loader.h"
 #include "outage_log.h"
-#include "cloud.h"
 #include "state_service.h"
 #include "store_writer.h"
 
