--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -1,16 +1,40 @@
-// Thin owners of libev watchers, and the mailbox through which actors are spoken to.
+// Thin owners of libev watchers, and the mailbox through which actors are spoken to. The one place where
+// time, timers and randomness come from: libev and the system in the program, a Driver in a world
+// (`src/world/`).
 #pragma once
 #include <ev.h>
 #include <time.h>
 
+#include <cstdint>
 #include <deque>
 #include <functional>
+#include <random>
 #include <utility>
 
 namespace corkmux {
 
+namespace http {
+class Carrier;
+}
+
+/// One simulated host, on which a Loop runs instead of libev. Nothing above this file and `src/net/` knows
+/// which it has. While a host's messages run, its driver is the one in use.
+class Driver {
+ public:
+  virtual ~Driver() = default;
+  virtual double steady() const = 0;  // s
+  virtual double wall() const = 0;    // s since 1970
+  virtual std::uint64_t random() = 0;
+  /// Runs `fn` once, `after_s` of the steady clock from now; the answer names it to stop() and is never 0.
+  virtual std::uint64_t start(double after_s, std::function<void()> fn) = 0;
+  virtual void stop(std::uint64_t timer) = 0;
+  virtual http::Carrier& carrier() = 0;
+  inline static Driver* in_use = nullptr;
+};
+
 /// Seconds on the steady clock; only differences mean anything.
 inline double steady_now() {
+  if (Driver::in_use) return Driver::in_use->steady();
   timespec t{};
   clock_gettime(CLOCK_MONOTONIC, &t);
   return static_cast<double>(t.tv_sec) + 1e-9 * static_cast<double>(t.tv_nsec);
@@ -18,11 +42,17 @@
 
 /// Seconds since 1970; accurate only within the platform's skew, so nothing about safety rests on it.
 inline double wall_now() {
+  if (Driver::in_use) return Driver::in_use->wall();
   timespec t{};
   clock_gettime(CLOCK_REALTIME, &t);
   return static_cast<double>(t.tv_sec) + 1e-9 * static_cast<double>(t.tv_nsec);
 }
 
+/// A seed that nobody can foresee; in a world, the next of its own.
+inline std::uint64_t fresh_seed() {
+  return Driver::in_use ? Driver::in_use->random() : std::uint64_t{std::random_device{}()};
+}
+
 class Loop {
  public:
   using Message = std::function<void()>;
@@ -30,13 +60,20 @@
     ev_idle_init(&idle_, &Loop::drain);
     idle_.data = this;
   }
+  /// Is run by the driver, not by run(); has no Io and no Signal.
+  explicit Loop(Driver& driver) : driver_(&driver) {}
   ~Loop() {
     queue_.clear();  // what waits in messages may own watchers, which need the loop
-    ev_loop_destroy(loop_);
+    if (driver_)
+      driver_->stop(waiting_);
+    else
+      ev_loop_destroy(loop_);
   }
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
+  Driver* driver() { return driver_; }
+
   struct ev_loop* raw() {
     return loop_;
   }
@@ -45,19 +82,28 @@
   void stop() { ev_break(loop_, EVBREAK_ALL); }
   /// Queues a message; it runs in a later turn of the loop, never inside the sender's.
   void post(Message message) {
-    if (queue_.empty()) ev_idle_start(loop_, &idle_);
+    if (queue_.empty()) {
+      if (driver_)
+        waiting_ = driver_->start(0, [this] { run_batch(); });
+      else
+        ev_idle_start(loop_, &idle_);
+    }
     queue_.push_back(std::move(message));
   }
 
  private:
   static void drain(struct ev_loop* raw, ev_idle* watcher, int) {
-    auto* self = static_cast<Loop*>(watcher->data);
-    std::deque<Message> batch;
-    batch.swap(self->queue_);
     ev_idle_stop(raw, watcher);
+    static_cast<Loop*>(watcher->data)->run_batch();
+  }
+  void run_batch() {
+    std::deque<Message> batch;
+    batch.swap(queue_);
     for (auto& message : batch) message();
   }
-  struct ev_loop* loop_;
+  Driver* driver_ = nullptr;
+  std::uint64_t waiting_ = 0;  // the driver's name for the turn in which the queue is emptied
+  struct ev_loop* loop_ = nullptr;
   ev_idle idle_{};
   std::deque<Message> queue_;
 };
@@ -73,23 +119,36 @@
   Timer& operator=(const Timer&) = delete;
   void once(double after_s, std::function<void()> fn) { start(after_s, 0., std::move(fn)); }
   void every(double period_s, std::function<void()> fn) { start(period_s, period_s, std::move(fn)); }
-  void stop() { ev_timer_stop(loop_.raw(), &timer_); }
-  bool active() const { return ev_is_active(&timer_); }
+  void stop() {
+    if (!loop_.driver()) return ev_timer_stop(loop_.raw(), &timer_);
+    if (driven_) loop_.driver()->stop(std::exchange(driven_, 0));
+  }
+  bool active() const { return loop_.driver() ? driven_ != 0 : ev_is_active(&timer_); }
 
  private:
   void start(double after, double repeat, std::function<void()> fn) {
     stop();
     fn_ = std::move(fn);
+    if (loop_.driver()) return drive(after < 0 ? 0 : after, repeat);
     ev_now_update(loop_.raw());
     ev_timer_set(&timer_, after < 0 ? 0 : after, repeat);
     ev_timer_start(loop_.raw(), &timer_);
   }
+  void drive(double after, double repeat) {
+    driven_ = loop_.driver()->start(after, [this, repeat] {
+      driven_ = 0;
+      if (repeat > 0) drive(repeat, repeat);
+      auto fn = fn_;
+      fn();
+    });
+  }
   static void fired(struct ev_loop*, ev_timer* timer, int) {
     auto fn = static_cast<Timer*>(timer->data)->fn_;  // a copy: the callback may restart or end the timer
     fn();
   }
   Loop& loop_;
   ev_timer timer_{};
+  std::uint64_t driven_ = 0;
   std::function<void()> fn_;
 };
 
--- /dev/null
+++ b/src/config/toml_reader.h
@@ -0,0 +1,116 @@
+// A table of a TOML file whose fields are read with checks; what is wrong is said with the file and the
+// field.
+#pragma once
+#include <cmath>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+#include "settings.h"
+
+namespace corkmux {
+
+class Reader {
+ public:
+  Reader(const std::string& file, const toml::table& table, std::string where = "")
+      : file_(file), table_(table), where_(std::move(where)) {}
+
+  [[noreturn]] void fail(const std::string& name, const std::string& what) const {
+    throw SettingsError(file_ + ": " + where_ + name + ": " + what);
+  }
+  std::string text_or(const char* name, const std::string& otherwise) const {
+    return table_.contains(name) ? text(name) : otherwise;
+  }
+  bool flag_or(const char* name, bool otherwise) const {
+    if (!table_.contains(name)) return otherwise;
+    auto v = table_[name].value<bool>();
+    if (!v) fail(name, "neither true nor false");
+    return *v;
+  }
+  std::string text(const char* name) const {
+    auto v = table_[name].value<std::string>();
+    if (!v || v->empty()) fail(name, "missing or not a text");
+    return *v;
+  }
+  double amount(const char* name, bool positive) const {
+    auto v = table_[name].value<double>();
+    if (!v) fail(name, "missing or not a number");
+    if (!std::isfinite(*v) || *v < 0 || (positive && *v <= 0)) fail(name, "out of range");
+    return *v;
+  }
+  double amount_or(const char* name, double otherwise) const {
+    return table_.contains(name) ? amount(name, false) : otherwise;
+  }
+  Reader sub(const char* name) const {
+    const auto* t = table_[name].as_table();
+    if (!t) fail(name, "missing or not a table");
+    return Reader(file_, *t, where_ + name + ".");
+  }
+  bool has(const char* name) const { return table_.contains(name); }
+  template <typename Fn>
+  void each(const char* name, bool required, Fn fn) const {
+    const auto* list = table_[name].as_array();
+    if (!list) {
+      if (required || table_.contains(name)) fail(name, "missing or not a list");
+      return;
+    }
+    int i = 0;
+    for (const auto& item : *list) {
+      std::string at = where_ + name + "[" + std::to_string(i++) + "]";
+      const auto* t = item.as_table();
+      if (!t) throw SettingsError(file_ + ": " + at + ": not a table");
+      fn(Reader(file_, *t, at + "."));
+    }
+  }
+  std::vector<double> amounts(const char* name) const {
+    const auto* list = table_[name].as_array();
+    if (!list || list->empty()) fail(name, "missing or empty");
+    std::vector<double> out;
+    for (const auto& item : *list) {
+      auto v = item.value<double>();
+      if (!v || !std::isfinite(*v) || *v < 0) fail(name, "not a list of numbers");
+      out.push_back(*v);
+    }
+    return out;
+  }
+  std::vector<std::string> texts(const char* name) const {
+    const auto* list = table_[name].as_array();
+    if (!list || list->empty()) fail(name, "missing or empty");
+    std::vector<std::string> out;
+    for (const auto& item : *list) {
+      auto v = item.value<std::string>();
+      if (!v) fail(name, "not a list of texts");
+      out.push_back(*v);
+    }
+    return out;
+  }
+
+ private:
+  const std::string& file_;
+  const toml::table& table_;
+  std::string where_;
+};
+
+inline std::string slurp(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw SettingsError(file + ": cannot be read");
+  std::ostringstream out;
+  out << in.rdbuf();
+  if (in.bad()) throw SettingsError(file + ": cannot be read");
+  return out.str();
+}
+
+inline toml::table parse_toml(const std::string& text, const std::string& file) {
+  try {
+    return toml::parse(text);
+  } catch (const toml::parse_error& e) {
+    std::ostringstream at;
+    at << e.source().begin;
+    throw SettingsError(file + ": not TOML: " + std::string(e.description()) + " (" + at.str() + ")");
+  }
+}
+
+}  // namespace corkmux
--- a/src/controller/mail.cc
+++ b/src/controller/mail.cc
@@ -19,7 +19,7 @@
       pause_(1 / std::max(1.0, settings.next.write_rps * c::kMailShare)),
       gather_(std::min(c::kMailGather, 2 * pause_)),
       // Guards against an answer meant for a former life of ours: numbers do not start over.
-      next_(std::uint64_t{std::random_device{}()} << 20),
+      next_(fresh_seed() << 20),
       sweeper_(loop),
       retry_(loop) {
   sweeper_.every(c::kMailSweep, [this] { sweep(); });
--- a/src/kube/api.cc
+++ b/src/kube/api.cc
@@ -64,7 +64,7 @@
       token_file_(choices.tokens),
       state_(state),
       gateway_(gateway),
-      rng_(std::random_device{}()),
+      rng_(fresh_seed()),
       server_(loop, choices.listen, static_cast<std::size_t>(connections(settings)),
               [this](Id id, http::Request r) { serve(id, std::move(r)); }),
       feed_(loop, state, server_) {
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -307,10 +307,26 @@
 
 Server::Server(Loop& loop, const std::string& address, std::size_t max_connections, Handler handler)
     : loop_(loop),
+      carrier_(loop.driver() ? &loop.driver()->carrier() : nullptr),
       max_connections_(max_connections),
       handler_(std::move(handler)),
-      listener_(std::in_place, ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
       sweeper_(loop) {
+  if (!carrier_) {
+    listen(address);
+    return;
+  }
+  port_ = carrier_->listen(address, [this](Request request, Carrier::Answer answer) {
+    auto id = next_++;
+    carried_.emplace(id, std::move(answer));
+    handler_(id, std::move(request));
+  });
+}
+Server::~Server() {
+  if (carrier_ && port_) carrier_->unlisten(port_);
+}
+
+void Server::listen(const std::string& address) {
+  listener_.emplace(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   auto addr = parse_address(address);
   int yes = 1;
   ::setsockopt(listener_->get(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
@@ -324,15 +340,16 @@
   accept_io_->want(EV_READ);
   sweeper_.every(constants::kIdleConnection / 4, [this] { sweep(); });
 }
-Server::~Server() = default;
 
 void Server::close() {
   closing_ = true;
+  if (carrier_ && port_) carrier_->unlisten(std::exchange(port_, 0));
   accept_io_.reset();
   listener_.reset();
 }
 
 bool Server::busy() const {
+  if (!carried_.empty()) return true;
   return std::any_of(connections_.begin(), connections_.end(), [](const auto& e) {
     return !e.second->in_parts && (e.second->serving || e.second->offset < e.second->out.size());
   });
@@ -412,6 +429,7 @@
 }
 
 void Server::respond(ConnectionId id, const Response& response) {
+  if (auto carried = carried_.extract(id)) return carried.mapped()(response);
   auto it = connections_.find(id);
   if (it == connections_.end()) return;
   Connection& c = *it->second;
@@ -498,6 +516,7 @@
       address_(std::move(address)),
       max_connections_(max_connections),
       max_queue_(max_queue),
+      carrier_(loop.driver() ? &loop.driver()->carrier() : nullptr),
       deadline_timer_(loop) {
   parse_address(address_);
 }
@@ -515,6 +534,14 @@
     return;
   }
   Pending p;
+  if (carrier_) {
+    p.deadline = steady_now() + timeout_s, p.done = std::move(done);
+    p.request.method = std::move(method), p.request.target = std::move(target),
+    p.request.body = std::move(body);
+    queue_.push_back(std::move(p));
+    pump_carried();
+    return arm();
+  }
   p.safe = method == "GET";
   p.bytes = method + " " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
   if (!body.empty() || method == "POST")
@@ -527,6 +554,24 @@
   arm();
 }
 
+void Client::pump_carried() {
+  while (!queue_.empty() && carried_.size() < max_connections_) {
+    auto id = next_carried_++;
+    Pending& p = carried_[id] = std::move(queue_.front());
+    queue_.pop_front();
+    bool open = carried_idle_ > 0;
+    carried_idle_ -= open;
+    p.sent = carrier_->send(address_, std::move(p.request), open, [this, id, alive = alive_](Result result) {
+      if (!*alive) return;
+      auto call = carried_.extract(id);
+      if (!call) return;  // given up
+      carried_idle_ += result.status != 0;
+      call.mapped().done(std::move(result));
+      if (*alive) pump_carried();
+    });
+  }
+}
+
 void Client::pump() {
   while (!queue_.empty()) {
     if (!idle_.empty()) {
@@ -657,6 +702,15 @@
       ++it;
     }
   }
+  std::vector<Pending> given_up;
+  for (auto it = carried_.begin(); it != carried_.end();) {
+    if (it->second.deadline > now) {
+      ++it;
+      continue;
+    }
+    given_up.push_back(std::move(it->second));
+    it = carried_.erase(it);
+  }
   std::vector<Connection*> overdue;
   for (auto& c : active_)
     if (c->pending.deadline <= now) overdue.push_back(c.get());
@@ -666,11 +720,16 @@
              false);
     if (!*alive) return;
   }
+  for (auto& p : given_up) {
+    p.done({0, "", p.sent, p.sent ? "no answer in time" : "no connection in time"});
+    if (!*alive) return;
+  }
   for (auto& done : late) {
     done({0, "", false, "no free connection in time"});
     if (!*alive) return;
   }
-  arm();
+  if (!given_up.empty()) pump_carried();
+  if (*alive) arm();
 }
 
 void Client::arm() {
@@ -679,6 +738,8 @@
     if (!next || c->pending.deadline < next) next = c->pending.deadline;
   for (auto& p : queue_)
     if (!next || p.deadline < next) next = p.deadline;
+  for (auto& [id, p] : carried_)
+    if (!next || p.deadline < next) next = p.deadline;
   if (!next) return;
   if (deadline_timer_.active() && armed_for_ <= next) return;
   armed_for_ = next;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "carrier.h"
 #include "loop.h"
 
 namespace corkmux::http {
@@ -86,7 +88,7 @@
   /// false: the caller is gone.
   bool part(ConnectionId id, std::string_view bytes);
   void end(ConnectionId id);
-  bool connected(ConnectionId id) const { return connections_.count(id) > 0; }
+  bool connected(ConnectionId id) const { return connections_.count(id) > 0 || carried_.count(id) > 0; }
   /// Bytes of it that the caller has not taken yet.
   std::size_t unsent(ConnectionId id) const;
   /// Takes no new connections; open ones close with their next answer.
@@ -94,10 +96,11 @@
   /// Whether a request waits for its answer, or an answer to be sent; such in parts not counted.
   bool busy() const;
   int port() const { return port_; }
-  std::size_t connections() const { return connections_.size(); }
+  std::size_t connections() const { return connections_.size() + carried_.size(); }
 
  private:
   struct Connection;
+  void listen(const std::string& address);
   void accept_ready();
   void ready(ConnectionId id, int events);
   void advance(Connection& c, std::string_view bytes);
@@ -105,6 +108,8 @@
   void drop(ConnectionId id);
   void sweep();
   Loop& loop_;
+  Carrier* carrier_;  // null: sockets. Answers in parts are for sockets only.
+  std::unordered_map<ConnectionId, Carrier::Answer> carried_;
   std::size_t max_connections_;
   Handler handler_;
   std::optional<Fd> listener_;
@@ -133,17 +138,20 @@
   /// Sees how each request ended, before its caller does.
   void observe(std::function<void(const Result&)> observer) { observer_ = std::move(observer); }
   const std::string& address() const { return address_; }
-  bool busy() const { return !active_.empty() || !queue_.empty(); }
+  bool busy() const { return !active_.empty() || !queue_.empty() || !carried_.empty(); }
 
  private:
   struct Pending {
     std::string bytes;
     double deadline = 0;
     Callback done;
-    bool safe = false;  // GET: may be sent again on a fresh connection
+    bool safe = false;     // GET: may be sent again on a fresh connection
+    Request request = {};  // for a carrier, instead of the bytes
+    bool sent = false;     // by a carrier
   };
   struct Connection;
   void pump();
+  void pump_carried();
   void start(Connection& c, Pending p);
   void ready(Connection* c, int events);
   void complete(Connection* c, Result result, bool reusable);
@@ -156,6 +164,10 @@
   std::function<void(const Result&)> observer_;
   std::list<Pending> queue_;
   std::list<std::unique_ptr<Connection>> active_, idle_;
+  Carrier* carrier_;  // null: sockets
+  std::map<std::uint64_t, Pending> carried_;
+  std::uint64_t next_carried_ = 1;
+  std::size_t carried_idle_ = 0;  // open connections that carry nothing
   Timer deadline_timer_;
   double armed_for_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/programs/world_main.cc
@@ -0,0 +1,42 @@
+// Plays a world from its file and prints what happened. Exit status: 0 when every rule held and every class
+// and team was served, 1 when not, 2 when the file cannot be played.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "world.h"
+
+int main(int argc, char** argv) {
+  CLI::App app{"corkmux-world: plays a whole cluster, simulated, from one seed"};
+  std::string file, day, json;
+  std::uint64_t seed = 1;
+  app.add_option("file", file, "the world (TOML; docs/worlds.md)")->required();
+  app.add_option("--day", day, "which of its days; the first if not given");
+  app.add_option("--seed", seed, "where chance begins");
+  app.add_option("--json", json, "also write the account there as JSON");
+  CLI11_PARSE(app, argc, argv);
+
+  spdlog::set_default_logger(
+      std::make_shared<spdlog::logger>("", std::make_shared<spdlog::sinks::stderr_sink_st>()));
+  const char* level = std::getenv("LOG_LEVEL");
+  spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
+  spdlog::set_formatter(corkmux::world::log_formatter());
+  try {
+    corkmux::world::World world(corkmux::world::load_plan(file, day), seed);
+    world.run();
+    std::cout << world.account_text();
+    if (!json.empty()) {
+      std::ofstream out(json);
+      out << world.account().dump(2) << "\n";
+      if (!out.flush()) throw std::runtime_error(json + ": cannot be written");
+    }
+    return world.good() ? 0 : 1;
+  } catch (const std::exception& e) {
+    std::cerr << "corkmux-world: " << e.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/world/checker.cc
@@ -0,0 +1,192 @@
+#include "checker.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "world_constants.h"
+
+namespace corkmux::world {
+
+void Checker::broke(const char* rule, const std::string& what) {
+  broken_.push_back(fmt::format("{}: {} at {:.2f} s", rule, what, now_()));
+}
+bool Checker::breaks(const std::string& rule) const {
+  return std::any_of(broken_.begin(), broken_.end(),
+                     [&](const auto& b) { return b.compare(0, rule.size() + 1, rule + ":") == 0; });
+}
+
+// ---------------------------------------------------------------- machines
+
+void Checker::on(const std::string& machine, const std::string& type, const std::string& zone, bool spot,
+                 const Work& work, int index, std::uint64_t attempt) {
+  const JobSpec& s = work.spec;
+  Job& job = jobs_[s.id];
+  double now = now_();
+  auto part = fmt::format("{}/{}", s.id, index);
+  if (auto it = job.places.find(index); it != job.places.end())
+    broke("ran_twice", fmt::format("{} starts on {} while on {}", part, machine, it->second.machine));
+  if (!s.allows_type(type) || (s.zone && *s.zone != zone) || (spot && !s.spot))
+    broke("wrong_place", fmt::format("{} on {} ({} in {})", part, machine, type, zone));
+  int there = 1;
+  for (const auto& [i, p] : job.places) {
+    there += p.zone == zone;
+    if (s.one_zone && p.zone != zone)
+      broke("wrong_place", fmt::format("{} in {}, mate in {}", part, zone, p.zone));
+  }
+  if (s.spread && there > (s.tasks + 1) / 2)
+    broke("wrong_place", fmt::format("{}: too many in {}", part, zone));
+  if (job.cancel_told >= 0 && now > job.cancel_told + cancel_s_)
+    broke("ran_cancelled", fmt::format("{} starts", part));
+  job.places[index] = {machine, zone, attempt, now};
+  Resources& use = use_[s.team] += s.need;
+  auto team = std::find_if(teams_.begin(), teams_.end(), [&](const Team& t) { return t.name == s.team; });
+  if (team != teams_.end() && !team->allows(use))
+    broke("quota", fmt::format("{} uses {:.0f} CPUs and {:.0f} GPUs", s.team, use.cpus, use.gpus));
+  ++starts_;
+  last_start_ = now;
+}
+
+void Checker::off(const std::string& machine, const Work& work, int index, std::uint64_t,
+                  const std::string&) {
+  Job& job = jobs_[work.spec.id];
+  use_[work.spec.team] -= work.spec.need;
+  if (job.cancel_told >= 0 && now_() > job.cancel_told + cancel_s_)
+    broke("ran_cancelled", fmt::format("{}/{} was still there", work.spec.id, index));
+  if (auto it = job.places.find(index); it != job.places.end() && it->second.machine == machine)
+    job.places.erase(it);
+}
+
+void Checker::lost(const Work&, const std::string& why, double seconds) {
+  lost_[why] += std::max(0.0, seconds);
+}
+void Checker::running(const Work& work, int) {
+  Job& job = jobs_[work.spec.id];
+  if (job.first_run < 0) job.first_run = now_();
+}
+void Checker::done(const Work& work, int) {
+  Job& job = jobs_[work.spec.id];
+  if (++job.done == work.spec.tasks) job.done_at = now_();
+}
+
+// ---------------------------------------------------------------- users
+
+void Checker::submitted(const JobSpec& spec) {
+  Job& job = jobs_[spec.id];
+  job.spec = spec, job.first_try = now_();
+}
+
+/// An answer about a job that was accepted, or that nobody submitted.
+void Checker::told(Job& job, const std::string& id, int status, const std::string& phase, double asked_at) {
+  bool known = !job.spec.id.empty();
+  if (!known) {
+    if (status == 200) broke("invented", id);
+    return;
+  }
+  auto before = [&](double told_at) { return told_at >= 0 && told_at <= asked_at; };
+  if (status == 404 && before(job.accepted_at)) broke("forgotten", id);
+  if (status != 200 && status != 201) return;
+  if (!std::exchange(job.accepted, true)) job.accepted_at = now_();
+  if ((before(job.done_told) && phase != "done") || (before(job.cancel_told) && phase != "cancelled"))
+    broke("went_back", fmt::format("{} is called {}", id, phase));
+  if (phase == "cancelled" && job.cancel_asked < 0)
+    broke("went_back", fmt::format("{} is called cancelled, which nobody asked for", id));
+  if (phase == "done" && job.done < job.spec.tasks)
+    broke("not_done", fmt::format("{} with {} of {} tasks", id, job.done, job.spec.tasks));
+  if (phase == "done" && job.done_told < 0) job.done_told = now_();
+  if (phase == "cancelled" && job.cancel_told < 0) job.cancel_told = now_();
+}
+
+void Checker::answered_submission(const std::string& id, int status, const std::string& phase,
+                                  double asked_at) {
+  Job& job = jobs_[id];
+  if (status == 400 || status == 422) {
+    if (job.accepted_at >= 0 && job.accepted_at <= asked_at)
+      broke("forgotten", fmt::format("{} was accepted and is refused", id));
+    job.refused = true;
+    return;
+  }
+  if (status == 200 || status == 201) {
+    told(job, id, status, phase, asked_at);
+    if (job.done_told < 0 && job.cancel_told < 0) open_.insert(id);
+  }
+}
+void Checker::gave_up(const std::string& id) { jobs_[id].given_up = true; }
+void Checker::asks_to_cancel(const std::string& id) {
+  if (jobs_[id].cancel_asked < 0) jobs_[id].cancel_asked = now_();
+}
+void Checker::answered_cancel(const std::string& id, int status, const std::string& phase, double asked_at) {
+  told(jobs_[id], id, status, phase, asked_at);
+  if (jobs_[id].cancel_told >= 0) open_.erase(id);
+}
+void Checker::answered_poll(const std::string& id, int status, const std::string& phase, double asked_at) {
+  Job& job = jobs_[id];
+  double now = now_();
+  told(job, id, status, phase, asked_at);
+  if (job.done_told >= 0 || job.cancel_told >= 0) open_.erase(id);
+  if (status == 200) {
+    any_poll_answered_ = now, job.silent_since = -1;
+  } else if (job.accepted) {
+    if (job.silent_since < 0) job.silent_since = now;
+    if (now - job.silent_since > kSilentPolls && any_poll_answered_ > job.silent_since) {
+      broke("forgotten", fmt::format("every poll for {} fails", id));
+      job.silent_since = now;
+    }
+  }
+}
+
+// ---------------------------------------------------------------- the account
+
+std::vector<Checker::Open> Checker::open(Yard& yard) const {
+  std::vector<Open> out;
+  for (const auto& id : open_) {
+    const Job& job = jobs_.at(id);
+    const Work* work = yard.find(id);
+    if (!work || work->bad || job.cancel_asked >= 0) continue;
+    int waiting = job.spec.tasks - job.done - static_cast<int>(job.places.size());
+    if (waiting > 0 && (job.spec.kind != JobKind::Gang || job.places.empty())) out.push_back({work, waiting});
+  }
+  return out;
+}
+const Resources& Checker::in_use(const std::string& team) const {
+  static const Resources none;
+  auto it = use_.find(team);
+  return it == use_.end() ? none : it->second;
+}
+
+void Checker::look(bool fitting_work_waits) {
+  double now = now_();
+  if (!fitting_work_waits) {
+    waits_since_ = -1;
+    return;
+  }
+  if (waits_since_ < 0) waits_since_ = now;
+  longest_pause_ = std::max(longest_pause_, now - std::max(waits_since_, last_start_));
+}
+
+void Checker::finish() {
+  double now = now_();
+  for (const auto& [id, job] : jobs_)
+    for (const auto& [index, p] : job.places)
+      if (job.cancel_told >= 0 && now > job.cancel_told + cancel_s_)
+        broke("ran_cancelled", fmt::format("{}/{} is still there", id, index));
+  if (starts_ == 0 && !jobs_.empty()) broke("nothing_ran", "no task was started");
+}
+
+std::map<std::string, Checker::Share> Checker::shares(std::string JobSpec::*name) const {
+  std::map<std::string, Share> out;
+  for (const auto& [id, job] : jobs_) {
+    if (job.spec.id.empty()) continue;
+    Share& s = out[job.spec.*name];
+    ++s.submitted;
+    s.accepted += job.accepted, s.refused += job.refused, s.given_up += job.given_up;
+    s.started += job.first_run >= 0;
+    s.cancelled += job.cancel_asked >= 0;
+    s.done += job.cancel_asked < 0 && job.done_at >= 0;
+    if (job.first_run >= 0) s.waits.push_back(job.first_run - job.first_try);
+  }
+  for (auto& [n, s] : out) std::sort(s.waits.begin(), s.waits.end());
+  return out;
+}
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/checker.h
@@ -0,0 +1,98 @@
+// Holds PROTOCOL's rules against what machines did and users were told. It is told nothing of the
+// controllers' books. And the account: per class and team what was submitted, started, done; what was lost,
+// and why.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "codec.h"
+#include "yard.h"
+
+namespace corkmux::world {
+
+class Checker : public Witness {
+ public:
+  /// `now`: s of the world, whoever's clock runs as it likes.
+  Checker(std::vector<Team> teams, double cancel_s, std::function<double()> now)
+      : teams_(std::move(teams)), cancel_s_(cancel_s), now_(std::move(now)) {}
+
+  // --- machines ---
+  void on(const std::string& machine, const std::string& type, const std::string& zone, bool spot,
+          const Work& work, int index, std::uint64_t attempt) override;
+  void off(const std::string& machine, const Work& work, int index, std::uint64_t attempt,
+           const std::string& why) override;
+  void lost(const Work& work, const std::string& why, double seconds) override;
+  void running(const Work& work, int index) override;
+  void done(const Work& work, int index) override;
+
+  // --- users ---
+  void submitted(const JobSpec& spec);
+  /// status of a submission; 0: none.
+  void answered_submission(const std::string& job, int status, const std::string& phase, double asked_at);
+  void gave_up(const std::string& job);
+  void asks_to_cancel(const std::string& job);
+  /// `asked_at`: s; an answer to a question that was on its way before another answer came may be older than
+  /// that.
+  void answered_cancel(const std::string& job, int status, const std::string& phase, double asked_at);
+  void answered_poll(const std::string& job, int status, const std::string& phase, double asked_at);
+
+  /// Work that fits waits, or not; looked at every so often.
+  void look(bool fitting_work_waits);
+  /// What can only be said once the day is over.
+  void finish();
+
+  /// "rule: what happened at what time", in order.
+  const std::vector<std::string>& broken() const { return broken_; }
+  bool breaks(const std::string& rule) const;
+  struct Share {
+    int submitted = 0, accepted = 0, refused = 0, given_up = 0, started = 0, cancelled = 0, done = 0;
+    std::vector<double> waits;  // s from the first try to submit to the first running task
+    /// Of the jobs that were not cancelled.
+    double served() const { return submitted > cancelled ? double(done) / (submitted - cancelled) : 1; }
+  };
+  std::map<std::string, Share> by_class() const { return shares(&JobSpec::job_class); }
+  std::map<std::string, Share> by_team() const { return shares(&JobSpec::team); }
+  const std::map<std::string, double>& lost_seconds() const { return lost_; }
+  double longest_pause() const { return longest_pause_; }
+  int starts() const { return starts_; }
+  /// For finding work that waits: accepted, not told to be over, and not all of it on machines.
+  struct Open {
+    const Work* work;
+    int waiting;
+  };
+  std::vector<Open> open(Yard& yard) const;
+  const Resources& in_use(const std::string& team) const;
+
+ private:
+  struct Place {
+    std::string machine, zone;
+    std::uint64_t attempt;
+    double since;
+  };
+  struct Job {
+    JobSpec spec;
+    double first_try = 0, cancel_asked = -1, cancel_told = -1, first_run = -1, accepted_at = -1,
+           done_told = -1, silent_since = -1;
+    bool accepted = false, refused = false, given_up = false;
+    int done = 0;
+    double done_at = -1;
+    std::map<int, Place> places;
+  };
+  void broke(const char* rule, const std::string& what);
+  void told(Job& job, const std::string& id, int status, const std::string& phase, double asked_at);
+  std::map<std::string, Share> shares(std::string JobSpec::*name) const;
+  std::vector<Team> teams_;
+  double cancel_s_;
+  std::function<double()> now_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, Resources> use_;
+  std::vector<std::string> broken_;
+  std::map<std::string, double> lost_;
+  std::set<std::string> open_;
+  int starts_ = 0;
+  double last_start_ = 0, waits_since_ = -1, longest_pause_ = 0, any_poll_answered_ = 0;
+};
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/clockwork.cc
@@ -0,0 +1,211 @@
+#include "clockwork.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "world_constants.h"
+
+namespace corkmux::world {
+namespace {
+int port_of(const std::string& address) { return std::stoi(address.substr(address.rfind(':') + 1)); }
+std::string ip_of(const std::string& address) { return address.substr(0, address.rfind(':')); }
+}  // namespace
+
+Host::Host(Clockwork& world, std::string name, std::string ip, std::string zone)
+    : world_(world), name_(std::move(name)), ip_(std::move(ip)), zone_(std::move(zone)) {
+  rate_ = zone_.empty() ? 1 : 1 + world_.uniform(-kDrift, kDrift);  // what is regional keeps the world's time
+  skew_ = world_.uniform(-world_.skew_s_, world_.skew_s_);
+}
+double Host::steady() const { return kEpoch + world_.now_ * rate_; }
+double Host::wall() const { return kWallEpoch + world_.now_ + skew_; }
+std::uint64_t Host::random() { return world_.rng_(); }
+std::uint64_t Host::start(double after_s, std::function<void()> fn) {
+  // Timers never fire early, and in steps, as DEPLOY says.
+  double step = after_s > 0 ? kTimerStep : 0;
+  return world_.at(world_.now_ + std::max(0.0, after_s) / rate_ + step, this, std::move(fn));
+}
+void Host::stop(std::uint64_t timer) { world_.cancel(timer); }
+int Host::listen(const std::string& address, Accept accept) {
+  int port = port_of(address);
+  if (!port) port = next_port_++;
+  if (!ports_.emplace(port, std::move(accept)).second)
+    throw std::runtime_error("cannot listen on " + address);
+  return port;
+}
+void Host::unlisten(int port) { ports_.erase(port); }
+bool Host::send(const std::string& address, http::Request request, bool open, Done done) {
+  return world_.carry(*this, address, std::move(request), open, std::move(done));
+}
+double Host::world_time() const { return world_.now(); }
+bool Host::standing_still() const { return still_until_ > world_.now_; }
+void Host::stand_still(double until) { still_until_ = std::max(still_until_, until); }
+void Host::end(bool silent) {
+  alive_ = false, silent_ = silent;
+  ports_.clear();
+  world_.ended(*this);
+}
+
+Clockwork::Clockwork(std::uint64_t seed, double skew_s) : skew_s_(skew_s), rng_(seed) {
+  outside_ = std::make_unique<Host>(*this, "world", "0.0.0.0", "");
+  Driver::in_use = outside_.get();
+}
+Clockwork::~Clockwork() { Driver::in_use = nullptr; }
+
+Host& Clockwork::host(const std::string& name, const std::string& ip, const std::string& zone,
+                      const std::string& role) {
+  hosts_.push_back(std::make_unique<Host>(*this, name, ip, zone));
+  hosts_.back()->role = role;
+  by_ip_[ip] = hosts_.back().get();
+  return *hosts_.back();
+}
+Host* Clockwork::find(const std::string& ip) const {
+  auto it = by_ip_.find(ip);
+  return it == by_ip_.end() ? nullptr : it->second;
+}
+
+std::uint64_t Clockwork::at(double time, Host* host, std::function<void()> fn) {
+  auto id = next_event_++;
+  live_.insert(id);
+  queue_.push({std::max(time, now_), id, host, std::move(fn)});
+  return id;
+}
+
+void Clockwork::run_until(double time) {
+  while (!queue_.empty() && queue_.top().time <= time) {
+    Event e = std::move(const_cast<Event&>(queue_.top()));  // popped at once
+    queue_.pop();
+    if (!live_.count(e.id)) continue;
+    now_ = std::max(now_, e.time);
+    if (e.host && e.host->alive_ && e.host->standing_still()) {  // in order, when it wakes
+      e.time = e.host->still_until_;
+      queue_.push(std::move(e));
+      continue;
+    }
+    live_.erase(e.id);
+    if (e.host && !e.host->alive_) continue;
+    ++events_run_;
+    as(e.host ? *e.host : *outside_, e.fn);
+  }
+  now_ = std::max(now_, time);
+}
+
+void Clockwork::as(Host& host, const std::function<void()>& fn) {
+  struct Use {
+    Driver* before = Driver::in_use;
+    ~Use() { Driver::in_use = before; }
+  } use;
+  Driver::in_use = &host;
+  fn();
+}
+
+// ---------------------------------------------------------------- network
+
+void Clockwork::cut(Between between, CutMode mode, double until) {
+  cuts_.push_back({std::move(between), mode, until});
+  if (mode == CutMode::Hold) return;
+  std::vector<std::uint64_t> broken;
+  for (const auto& [id, c] : calls_)
+    if (c.to && (cuts_.back().between(*c.from, *c.to) || cuts_.back().between(*c.to, *c.from)))
+      broken.push_back(id);
+  if (mode == CutMode::Reset)
+    for (auto id : broken) finish(id, {0, "", true, "the connection was closed"}, 0);
+}
+void Clockwork::lose_answers(Between between, double share, double until) {
+  lossy_.push_back({std::move(between), share, until});
+}
+void Clockwork::slow(Between between, double factor, double until) {
+  slow_.push_back({std::move(between), factor, until});
+}
+
+const Clockwork::Cut* Clockwork::cut_between(const Host& from, const Host& to) const {
+  const Cut* longest = nullptr;
+  for (const auto& c : cuts_)
+    if (c.until > now_ && (!longest || c.until > longest->until) && c.between(from, to)) longest = &c;
+  return longest;
+}
+
+double Clockwork::delay(const Host& from, const Host& to) {
+  double d = (from.zone_ == to.zone_ ? kNearDelay : kFarDelay) * uniform(0.7, 1.6);
+  if (uniform(0, 1) < kResendShare) d += kResend;
+  for (const auto& s : slow_)
+    if (s.until > now_ && (s.between(from, to) || s.between(to, from))) d *= s.value;
+  return d;
+}
+
+bool Clockwork::carry(Host& from, const std::string& address, http::Request request, bool open,
+                      http::Carrier::Done done) {
+  Host* to = find(ip_of(address));
+  auto id = next_call_++;
+  calls_[id] = {&from, to, std::move(done)};
+  if (!to) {  // nobody there: silent
+    calls_.erase(id);
+    return false;
+  }
+  const Cut* out = cut_between(from, *to);
+  const Cut* back = cut_between(*to, from);
+  double held = now_;
+  for (const Cut* c : {out, back}) {
+    if (!c) continue;
+    if (c->mode == CutMode::Refuse)
+      return finish(id, {0, "", false, "connection refused"}, delay(from, *to)), true;
+    if (!open)
+      return calls_.erase(id), false;  // a connection attempt that was given up does not complete later
+    if (c->mode == CutMode::Reset)
+      return finish(id, {0, "", true, "the connection was closed"}, delay(from, *to)), true;
+  }
+  if (out) held = out->until;
+  double when = std::max(now_, held) + delay(from, *to);
+  at(when, nullptr, [this, id, port = port_of(address), request = std::move(request)]() mutable {
+    deliver(id, port, std::move(request));
+  });
+  return true;
+}
+
+void Clockwork::deliver(std::uint64_t call, int port, http::Request request) {
+  auto it = calls_.find(call);
+  if (it == calls_.end()) return;
+  Host& to = *it->second.to;
+  if (!to.alive_ || find(to.ip_) != &to) {
+    if (to.silent_) return;
+    return finish(call, {0, "", false, "connection refused"}, kNearDelay);
+  }
+  if (!to.ports_.count(port)) return finish(call, {0, "", false, "connection refused"}, kNearDelay);
+  at(now_, &to, [this, call, port, host = &to, request = std::move(request)]() mutable {
+    auto listener = host->ports_.find(port);
+    if (listener == host->ports_.end()) return finish(call, {0, "", false, "connection refused"}, kNearDelay);
+    auto accept = listener->second;
+    accept(std::move(request), [this, call](const http::Response& r) { answer(call, r); });
+  });
+}
+
+void Clockwork::answer(std::uint64_t call, const http::Response& response) {
+  auto it = calls_.find(call);
+  if (it == calls_.end()) return;
+  Host &from = *it->second.from, &to = *it->second.to;
+  for (const auto& l : lossy_)
+    if (l.until > now_ && l.between(to, from) && uniform(0, 1) < l.value) return;
+  double held = now_;
+  if (const Cut* back = cut_between(to, from)) {
+    if (back->mode != CutMode::Hold) return finish(call, {0, "", true, "the connection was closed"}, 0);
+    held = back->until;
+  }
+  finish(call, {response.status, response.body, true}, held - now_ + delay(to, from));
+}
+
+void Clockwork::finish(std::uint64_t call, http::Result result, double after) {
+  auto it = calls_.find(call);
+  if (it == calls_.end()) return;
+  Call c = std::move(it->second);
+  calls_.erase(it);
+  at(now_ + after, c.from,
+     [done = std::move(c.done), result = std::move(result)]() mutable { done(std::move(result)); });
+}
+
+void Clockwork::ended(Host& host) {
+  std::vector<std::uint64_t> broken;
+  for (const auto& [id, c] : calls_)
+    if (c.to == &host && !host.silent_) broken.push_back(id);
+  for (auto id : broken) finish(id, {0, "", true, "the connection was closed"}, kNearDelay);
+}
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/clockwork.h
@@ -0,0 +1,153 @@
+// Stepped time: one queue of events for all hosts of a world, run in order of time, then of their making. The
+// same seed gives the same order. Hosts have clocks of their own, may stand still, end, or be without power;
+// what they say to each other goes through a network with delays and cuts. Knows nothing of what the hosts
+// are.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "http.h"
+
+namespace corkmux::world {
+
+/// What happens to bytes between two hosts that a cut keeps apart.
+enum class CutMode {
+  Hold,   // kept, and delivered in order when the cut ends
+  Reset,  // lost; open connections break
+  Refuse  // new requests are refused at once
+};
+
+class Clockwork;
+
+/// A process or machine at one address. Kept until the world ends, since late messages may still name it.
+class Host : public Driver, public http::Carrier {
+ public:
+  Host(Clockwork& world, std::string name, std::string ip, std::string zone);
+  double steady() const override;
+  double wall() const override;
+  std::uint64_t random() override;
+  std::uint64_t start(double after_s, std::function<void()> fn) override;
+  void stop(std::uint64_t timer) override;
+  http::Carrier& carrier() override { return *this; }
+
+  int listen(const std::string& address, Accept accept) override;
+  void unlisten(int port) override;
+  bool send(const std::string& address, http::Request request, bool open, Done done) override;
+
+  /// It runs nothing until then, while its clocks run on. s of the world.
+  void stand_still(double until);
+  bool standing_still() const;
+  /// It is no more: nothing of it runs. A process that ends refuses what comes; a machine without power is
+  /// silent.
+  void end(bool silent);
+  bool alive() const { return alive_; }
+  const std::string& name() const { return name_; }
+  const std::string& zone() const { return zone_; }  // empty: regional
+  const std::string& ip() const { return ip_; }
+  double world_time() const;  // s since the world began
+  std::string role;           // what cuts go by: "controller", "worker", "state", "cloud", "users"
+
+ private:
+  friend class Clockwork;
+  Clockwork& world_;
+  std::string name_, ip_, zone_;
+  double rate_, skew_;  // steady s per s of the world; s of the time of day
+  double still_until_ = 0;
+  bool alive_ = true, silent_ = false;
+  int next_port_ = 20000;
+  std::map<int, Accept> ports_;
+};
+
+class Clockwork {
+ public:
+  explicit Clockwork(std::uint64_t seed, double skew_s = 0);
+  ~Clockwork();
+  Clockwork(const Clockwork&) = delete;
+  Clockwork& operator=(const Clockwork&) = delete;
+
+  double now() const { return now_; }  // s since the world began
+  std::mt19937_64& rng() { return rng_; }
+  double uniform(double from, double to) { return std::uniform_real_distribution<double>(from, to)(rng_); }
+  std::size_t below(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(rng_); }
+
+  /// The host at that address from now on; an earlier one there must have ended.
+  Host& host(const std::string& name, const std::string& ip, const std::string& zone,
+             const std::string& role);
+  /// Runs `fn` on the host; never if that has ended by then.
+  std::uint64_t at(double time, Host* host, std::function<void()> fn);
+  void cancel(std::uint64_t event) { live_.erase(event); }
+  void run_until(double time);
+  /// Runs `fn` as the host would, at once.
+  void as(Host& host, const std::function<void()>& fn);
+
+  using Between = std::function<bool(const Host& from, const Host& to)>;
+  /// Cuts what the predicate names, in that direction only.
+  void cut(Between between, CutMode mode, double until);
+  /// Answers between them are lost after the request was executed, with that probability.
+  void lose_answers(Between between, double share, double until);
+  /// Multiplies delays.
+  void slow(Between between, double factor, double until);
+
+  /// Nothing is cut between them, in either direction.
+  bool reaches(const Host& a, const Host& b) const { return !cut_between(a, b) && !cut_between(b, a); }
+  std::uint64_t events_run() const { return events_run_; }
+  std::uint64_t requests_sent() const { return next_call_ - 1; }
+
+ private:
+  friend class Host;
+  struct Event {
+    double time;
+    std::uint64_t id;
+    Host* host;
+    std::function<void()> fn;
+  };
+  struct Later {
+    bool operator()(const Event& a, const Event& b) const {
+      return a.time != b.time ? a.time > b.time : a.id > b.id;
+    }
+  };
+  struct Cut {
+    Between between;
+    CutMode mode;
+    double until;
+  };
+  struct Weak {
+    Between between;
+    double value, until;
+  };
+  struct Call {
+    Host *from, *to;
+    http::Carrier::Done done;
+  };
+  const Cut* cut_between(const Host& from, const Host& to) const;
+  double delay(const Host& from, const Host& to);
+  Host* find(const std::string& ip) const;
+  bool carry(Host& from, const std::string& address, http::Request request, bool open,
+             http::Carrier::Done done);
+  void deliver(std::uint64_t call, int port, http::Request request);
+  void answer(std::uint64_t call, const http::Response& response);
+  void finish(std::uint64_t call, http::Result result, double after);
+  void ended(Host& host);
+
+  double now_ = 0, skew_s_;
+  std::mt19937_64 rng_;
+  std::uint64_t next_event_ = 1, next_call_ = 1, events_run_ = 0;
+  std::priority_queue<Event, std::vector<Event>, Later> queue_;
+  std::unordered_set<std::uint64_t> live_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::unordered_map<std::string, Host*> by_ip_;
+  std::map<std::uint64_t, Call> calls_;
+  std::vector<Cut> cuts_;
+  std::vector<Weak> lossy_, slow_;
+  std::unique_ptr<Host> outside_;  // whose clocks tell while no host runs
+};
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/plan.h
@@ -0,0 +1,63 @@
+// What a world is made of, and what goes wrong in it, as its TOML file says (docs/worlds.md).
+#pragma once
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cloud.h"
+#include "settings.h"
+#include "worker.h"
+
+namespace corkmux::world {
+
+/// One trouble. Fields that a kind does not use are ignored.
+struct Fault {
+  double at_s = 0, for_s = 0, every_s = 0;
+  std::string kind, zone, mode = "hold", job_class, team;
+  std::vector<std::string> zones;
+  int count = 1, txn_ops = 0;
+  bool busiest = false, from_state = false, from_workers = false, from_peers = false, one_way = false;
+  double share = 0, factor = 1, notice_s = 0, value_kb = 0, write_rps = 0;
+};
+/// All kinds, with the fields that they use.
+const std::vector<std::string>& fault_kinds();
+
+/// Jobs of one class and team.
+struct Load {
+  JobSpec like;  // id, tasks and image are drawn for each
+  std::vector<int> tasks;
+  int images = 1;
+  double run_s = 0, per_minute = 0, cancel_share = 0, bad_share = 0;
+  int at_start = 0;
+};
+
+struct Machines {
+  Capacity where;
+  int initial = 0;
+};
+
+struct Plan {
+  std::string name;
+  double until_s = 0, jobs_until_s = 0, restart_s = 6, skew_s = 0.005, served = 0.5;
+  std::vector<std::string> controllers;  // the zone of each
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  std::vector<MachineType> types;
+  std::vector<Machines> machines;
+  std::vector<Load> loads;
+  Settings site;  // limits, times and aims that every controller gets
+  WorkerTimes times;
+  std::vector<Fault> faults;
+};
+
+/// The file's world with the troubles of one of its days; the first when no name is given. Throws
+/// SettingsError.
+Plan parse_plan(const std::string& text, const std::string& file, const std::string& day = "");
+Plan load_plan(const std::string& file, const std::string& day = "");
+std::vector<std::string> day_names(const std::string& file);
+/// A line of the file for that trouble.
+std::string fault_to_toml(const Fault& fault);
+/// So many troubles drawn for that world, all over when its last third begins.
+std::vector<Fault> draw_faults(const Plan& plan, int count, std::uint64_t seed);
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/users.cc
@@ -0,0 +1,137 @@
+#include "users.h"
+
+#include <algorithm>
+
+#include "codec.h"
+#include "world_constants.h"
+
+namespace corkmux::world {
+namespace {
+std::string phase_in(const http::Result& r) {
+  auto body = codec::unpack(r.body);
+  return body && body->is_object() ? body->value("phase", "") : "";
+}
+}  // namespace
+
+Balancer::Balancer(Loop& loop, const std::map<std::string, std::string>& controllers)
+    : loop_(loop), rng_(fresh_seed()), probes_(loop) {
+  for (const auto& [label, address] : controllers) {
+    auto node = std::make_unique<Node>();
+    node->client = std::make_unique<http::Client>(loop_, address, 4000, 4000);
+    nodes_.push_back(std::move(node));
+  }
+  probes_.every(kReadyEvery, [this] {
+    for (auto& n : nodes_) probe(*n);
+  });
+}
+
+void Balancer::probe(Node& node) {
+  node.client->request("GET", "/ready", "", kReadyWait, [&node](http::Result r) {
+    double now = steady_now();
+    bool ok = r.status == 200;
+    node.good = ok ? node.good + 1 : 0;
+    node.bad = ok ? 0 : node.bad + 1;
+    if (node.healthy && node.bad >= 2) {
+      node.removals = now - node.removed_at < 120 ? node.removals + 1 : 0;
+      node.removed_at = now;
+      node.healthy = false;
+      node.not_before = now + std::min(kReadyPauseMost, kReadyPause * (1 << std::min(node.removals, 5)));
+    } else if (!node.healthy && now >= node.not_before && node.good >= (node.ever ? 2 : 1)) {
+      node.healthy = node.ever = true;
+    }
+  });
+}
+
+Balancer::Node* Balancer::pick(std::vector<Node*>& tried) {
+  std::vector<Node*> can;
+  double now = steady_now();
+  for (auto& n : nodes_)
+    if (n->healthy && now >= n->skip_until && std::find(tried.begin(), tried.end(), n.get()) == tried.end())
+      can.push_back(n.get());
+  return can.empty() ? nullptr : can[rng_() % can.size()];
+}
+
+void Balancer::request(const char* method, const std::string& target, std::string body, double timeout_s,
+                       Done done) {
+  attempt(method, target, std::move(body), timeout_s, std::move(done), {});
+}
+
+void Balancer::attempt(const char* method, std::string target, std::string body, double timeout_s, Done done,
+                       std::vector<Node*> tried) {
+  Node* node = tried.size() < 3 ? pick(tried) : nullptr;
+  if (!node) {
+    loop_.post([done = std::move(done)] { done({0, "", false, "no controller takes connections"}); });
+    return;
+  }
+  tried.push_back(node);
+  node->client->request(
+      method, target, body, timeout_s, [=, this, done = std::move(done)](http::Result r) mutable {
+        bool refused = !r.sent && r.status == 0;
+        node->refused = refused ? node->refused + 1 : 0;
+        if (node->refused >= 3) node->skip_until = steady_now() + kRefusedPause;
+        if (!refused) return done(std::move(r));
+        attempt(method, std::move(target), std::move(body), timeout_s, std::move(done), tried);
+      });
+}
+
+Users::Users(Loop& loop, const std::map<std::string, std::string>& controllers, Checker& checker, Yard& yard)
+    : loop_(loop), balancer_(loop, controllers), checker_(checker), yard_(yard), rng_(fresh_seed()) {}
+
+void Users::after(double s, std::function<void()> fn) { loop_.driver()->start(s, std::move(fn)); }
+
+void Users::submit(Work work, double cancel_after_s) {
+  auto id = work.spec.id;
+  checker_.submitted(work.spec);
+  yard_.add(std::move(work));
+  try_submit(id, steady_now() + kSubmitGiveUp);
+  if (cancel_after_s >= 0)
+    after(cancel_after_s, [this, id] {
+      checker_.asks_to_cancel(id);
+      cancel(id);
+    });
+}
+
+void Users::try_submit(const std::string& id, double until) {
+  Work* work = yard_.find(id);
+  balancer_.request("POST", "/work", codec::pack(codec::job_to_wire(work->spec)), kSubmitWait,
+                    [this, id, until, asked = steady_now() - kEpoch](http::Result r) {
+                      checker_.answered_submission(id, r.status, phase_in(r), asked);
+                      if (r.status == 400 || r.status == 422) return;
+                      if (r.status == 200 || r.status == 201)
+                        return after(kPollEvery, [this, id] { poll(id); });
+                      if (steady_now() + kAgain < until)
+                        return after(kAgain, [this, id, until] { try_submit(id, until); });
+                      checker_.gave_up(id);
+                    });
+}
+
+void Users::poll(const std::string& id) {
+  balancer_.request("GET", "/work/" + id, "", kPollWait,
+                    [this, id, asked = steady_now() - kEpoch](http::Result r) {
+                      auto phase = phase_in(r);
+                      checker_.answered_poll(id, r.status, phase, asked);
+                      double again = std::uniform_real_distribution<double>(0.9, 1.1)(rng_) * kPollEvery;
+                      bool over = r.status == 200 && (phase == "done" || phase == "cancelled");
+                      // Some come back much later, with a question or with the same submission.
+                      if (over && rng_() % 8 == 0)
+                        return after(10 * again, [this, id] { rng_() % 2 ? poll(id) : try_submit(id, 0); });
+                      if (!over) after(again, [this, id] { poll(id); });
+                    });
+}
+
+void Users::cancel(const std::string& id) {
+  balancer_.request("POST", "/work/" + id + "/withdraw", "", kSubmitWait,
+                    [this, id, asked = steady_now() - kEpoch](http::Result r) {
+                      checker_.answered_cancel(id, r.status, phase_in(r), asked);
+                      if (r.status != 200) after(kAgain, [this, id] { cancel(id); });
+                    });
+}
+
+void Users::ask_about(const std::string& job) {
+  balancer_.request("GET", "/work/" + job, "", kPollWait,
+                    [this, job, asked = steady_now() - kEpoch](http::Result r) {
+                      checker_.answered_poll(job, r.status, phase_in(r), asked);
+                    });
+}
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/worker.h
@@ -0,0 +1,110 @@
+// One machine and its worker as PROTOCOL has them: reports to one controller at a time, tokens, sessions,
+// leases, the image cache, tasks that save, gangs, sickness and spot notices. Runs on any Loop.
+#pragma once
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "codec.h"
+#include "http.h"
+#include "yard.h"
+
+namespace corkmux::world {
+
+struct WorkerTimes {
+  double report_s = 2, lease_s = 20, gang_wait_s = 30, gang_peer_s = 8;
+};
+
+struct MachineFacts {
+  std::string name;
+  MachineType type;
+  std::string zone;
+  bool spot = false;
+};
+
+class Worker {
+ public:
+  /// `controllers`: label and address of each. `listen`: where it takes orders.
+  Worker(Loop& loop, MachineFacts facts, WorkerTimes times, std::map<std::string, std::string> controllers,
+         Yard& yard, const std::string& listen);
+  ~Worker();
+  int tasks() const { return static_cast<int>(tasks_.size()); }
+  int running() const;
+  const MachineFacts& facts() const { return facts_; }
+  /// What tasks that have not exited leave free.
+  Resources free() const;
+  /// Fails every task that it starts.
+  void sicken(bool sick) { sick_ = sick; }
+  /// The cloud takes it away then.
+  void notice(double in_s);
+  /// Its machine stands still from now on; until it wakes, mates may notice.
+  void hang();
+  /// s of its clock: when its lease ends unless a report is answered.
+  double lease_end() const { return leased_from_ + times_.lease_s; }
+  /// Ends its tasks if its lease is over; also of a machine that hangs (PROTOCOL: it may resume within its
+  /// lease).
+  void expire();
+  bool hangs() const { return hung_; }
+  /// The machine ends with all that is on it.
+  void die(const std::string& why);
+  std::uint64_t session() const { return session_; }
+
+  // For the yard: what becomes of a gang's task. Take effect when the machine is awake.
+  void gang_runs(const std::string& job, int index, std::uint64_t attempt);
+  void gang_saves(const std::string& job, int index, std::uint64_t attempt);
+  void gang_exits(const std::string& job, int index, std::uint64_t attempt, const char* cause, bool kept);
+  double speed() const { return speed_; }
+
+ private:
+  enum class Phase { Fetching, Waiting, Running, Saving, Ended };
+  struct Task {
+    Work* work = nullptr;
+    int index = 0;
+    std::uint64_t attempt = 0;
+    Phase phase = Phase::Fetching;
+    const char* cause = "";
+    bool kept = false, on = false, fails = false;
+    double began = 0, base = 0, until = 0;
+  };
+  struct Image {
+    bool there = false;
+    double size = 0, used = 0, until = 0;
+  };
+  using Key = std::pair<std::string, std::uint64_t>;  // part, attempt
+  codec::Json report();
+  void obey(const codec::Json& body);
+  void launch(const std::string& part, std::uint64_t attempt);
+  void halt(Task& t, double mercy_s);
+  void exit(Task& t, const char* cause, bool kept = false);
+  void leave(Task& t, const char* why);
+  void image_there(const std::string& image);
+  void place(Task& t);
+  void later(const std::string& job, int index, std::uint64_t attempt, std::function<void(Task&)> then);
+  void serve(http::Server::ConnectionId id, http::Request r);
+  void changed();
+  void send();
+  void next(const std::string& herald, bool at_once);
+  void step();
+  void arm();
+  Loop& loop_;
+  MachineFacts facts_;
+  WorkerTimes times_;
+  std::map<std::string, std::string> controllers_;
+  Yard& yard_;
+  std::string ip_;
+  std::mt19937_64 rng_;
+  double speed_ = 1, pull_ = 1;
+  std::string target_;
+  std::map<std::string, std::unique_ptr<http::Client>> clients_;
+  http::Server server_;
+  Timer wake_;
+  std::map<Key, Task> tasks_;
+  std::map<std::string, Image> images_;
+  std::uint64_t session_ = 1, tick_ = 0, token_ = 0;
+  double leased_from_, next_report_ = 0, last_sent_ = -1e9, token_told_ = -1e9, notice_at_ = 0;
+  bool waiting_ = false, sick_ = false, hung_ = false, dead_ = false;
+};
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/world.cc
@@ -0,0 +1,519 @@
+#include "world.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "world_constants.h"
+
+namespace corkmux::world {
+
+using codec::Json;
+
+void World::History::add(std::string_view text) {
+  for (unsigned char c : text) value = (value ^ c) * 1099511628211ull;  // FNV-1a
+}
+
+void World::Recorder::on(const std::string& machine, const std::string& type, const std::string& zone,
+                         bool spot, const Work& work, int index, std::uint64_t attempt) {
+  world.history_.add(
+      fmt::format("on {:.6f} {} {}/{} {}\n", world.clockwork_.now(), machine, work.spec.id, index, attempt));
+  world.checker_.on(machine, type, zone, spot, work, index, attempt);
+}
+void World::Recorder::off(const std::string& machine, const Work& work, int index, std::uint64_t attempt,
+                          const std::string& why) {
+  world.history_.add(
+      fmt::format("off {:.6f} {} {}/{} {}\n", world.clockwork_.now(), machine, work.spec.id, index, why));
+  world.checker_.off(machine, work, index, attempt, why);
+}
+void World::Recorder::lost(const Work& work, const std::string& why, double seconds) {
+  world.checker_.lost(work, why, seconds);
+}
+
+World::World(Plan plan, std::uint64_t seed)
+    : plan_(std::move(plan)),
+      clockwork_(seed, plan_.skew_s),
+      checker_(plan_.teams, plan_.site.cancel_s, [this] { return clockwork_.now(); }),
+      outside_host_(clockwork_.host("state", "10.2.0.1", "", "state")),
+      users_host_(clockwork_.host("users", "10.3.0.1", "", "users")) {
+  outside_ = std::make_unique<Loop>(outside_host_);
+  users_loop_ = std::make_unique<Loop>(users_host_);
+  clockwork_.as(outside_host_, [&] {
+    state_ = std::make_unique<State>(*outside_, "10.2.0.1:2379");
+    state_->value_bytes = static_cast<std::size_t>(plan_.site.value_kb * 1024);
+    state_->txn_ops = static_cast<std::size_t>(plan_.site.txn_ops);
+    state_->requests.set(plan_.site.state_rps);
+    state_->changes.set(plan_.site.state_write_rps);
+    state_->latency = [this] {
+      return clockwork_.uniform(0, 1) < kStateSlowShare ? kStateSlow * clockwork_.uniform(0.5, 1.5)
+                                                        : kStateQuick * clockwork_.uniform(0.4, 1.8);
+    };
+    yard_ = std::make_unique<Yard>(*outside_, plan_.times.gang_peer_s, recorder_,
+                                   [this] { return clockwork_.now(); });
+  });
+  clockwork_.as(outside_host_, [&] {
+    std::vector<Capacity> capacity;
+    for (const auto& m : plan_.machines) capacity.push_back(m.where);
+    cloud_ = std::make_unique<Cloud>(
+        *outside_, plan_.types, capacity, plan_.site.list_lag_s,
+        Cloud::Hooks{[this](const MachineFacts& f) { boot(f); },
+                     [this](const std::string& n) { lose_machine(n, "deleted"); },
+                     [this](const std::string& n) { return machine_ip(n) + ":9000"; }},
+        "10.2.0.1:8443");
+    cloud_->requests.set(plan_.site.cloud_rps, 2);
+  });
+  for (std::size_t i = 0; i < plan_.controllers.size(); ++i) {
+    auto p = std::make_unique<Process>();
+    p->label = fmt::format("c{}", i + 1), p->zone = plan_.controllers[i];
+    clockwork_.as(outside_host_, [&] { p->door = state_->add_door(fmt::format("10.2.0.1:{}", 3000 + i)); });
+    addresses_[p->label] = fmt::format("10.0.0.{}:8080", i + 1);
+    processes_.push_back(std::move(p));
+  }
+  for (auto& p : processes_) start(*p);
+  for (const auto& m : plan_.machines)
+    for (int i = 0; i < m.initial; ++i) boot(cloud_->add(m.where.type, m.where.zone, m.where.spot));
+  clockwork_.as(users_host_, [&] {
+    users_ = std::make_unique<Users>(*users_loop_, addresses_, checker_, *yard_);
+    for (const auto& load : plan_.loads) {
+      streams_.push_back(std::make_unique<Stream>(*users_loop_, load));
+      auto& stream = *streams_.back();
+      // At the start they come over some seconds, once the controllers are up.
+      for (int i = 0; i < load.at_start; ++i)
+        users_host_.start(clockwork_.uniform(2, 6), [this, &load] { submit(load); });
+      stream.next.once(4, [this, &stream] { arm(stream); });
+    }
+    for (int i = 0; i < 5; ++i)
+      users_host_.start(clockwork_.uniform(10, plan_.until_s),
+                        [this, i] { users_->ask_about(fmt::format("run-9{:05d}", i)); });
+  });
+  for (const auto& f : plan_.faults) clockwork_.at(f.at_s, nullptr, [this, &f] { begin(f); });
+  clockwork_.at(kLook, nullptr, [this] { look(); });
+}
+
+World::~World() {
+  for (auto& p : processes_)
+    if (p->controller) clockwork_.as(*p->host, [&] { p->controller.reset(), p->loop.reset(); });
+}
+
+void World::run_until(double time) { clockwork_.run_until(time); }
+void World::run() {
+  clockwork_.run_until(plan_.until_s);
+  clockwork_.as(outside_host_, [&] { checker_.finish(); });
+}
+
+void World::note(const std::string& what) {
+  events_.push_back(fmt::format("{:7.2f} s  {}", clockwork_.now(), what));
+  history_.add(events_.back());
+}
+
+// ---------------------------------------------------------------- controllers
+
+Settings World::settings_of(const Process& process) const {
+  Settings s = plan_.site;
+  s.label = process.label, s.zone = process.zone;
+  s.listen = addresses_.at(process.label);
+  auto ip = s.listen.substr(0, s.listen.find(':'));
+  s.peer_listen = ip + ":8081";
+  s.state = fmt::format("10.2.0.1:{}", state_->door_port(process.door));
+  s.cloud = fmt::format("10.2.0.1:{}", cloud_->port());
+  for (const auto& other : processes_) {
+    if (other->label == process.label) continue;
+    const auto& a = addresses_.at(other->label);
+    s.peers.push_back({other->label, other->zone, a.substr(0, a.find(':')) + ":8081"});
+  }
+  return s;
+}
+
+void World::start(Process& p) {
+  auto settings = settings_of(p);
+  p.host = &clockwork_.host(p.label, settings.peer_listen.substr(0, settings.peer_listen.find(':')), p.zone,
+                            "controller");
+  p.loop = std::make_unique<Loop>(*p.host);
+  clockwork_.as(*p.host, [&] {
+    p.controller = std::make_unique<Controller>(*p.loop, settings, load_operator(""));
+    p.controller->start();
+  });
+}
+
+void World::crash(Process& p) {
+  if (!p.controller) return;
+  p.host->end(false);
+  clockwork_.as(*p.host, [&] { p.controller.reset(), p.loop.reset(); });
+  after(plan_.restart_s * clockwork_.uniform(0.9, 1.1), [this, &p] { start(p); });
+}
+
+std::vector<World::Process*> World::chosen(const Fault& fault) {
+  std::vector<Process*> out;
+  for (auto& p : processes_)
+    if (p->controller) out.push_back(p.get());
+  std::shuffle(out.begin(), out.end(), clockwork_.rng());
+  std::stable_sort(out.begin(), out.end(), [&](const Process* a, const Process* b) {
+    return fault.busiest ? a->controller->leading() > b->controller->leading()
+                         : a->controller->leading() < b->controller->leading();
+  });
+  if (out.size() > static_cast<std::size_t>(fault.count)) out.resize(static_cast<std::size_t>(fault.count));
+  return out;
+}
+
+// ---------------------------------------------------------------- machines and jobs
+
+std::string World::machine_ip(const std::string& name) const {
+  int n = std::stoi(name.substr(2));
+  return fmt::format("10.1.{}.{}", n / 200, n % 200 + 1);
+}
+
+void World::boot(const MachineFacts& facts) {
+  Machine& m = machines_[facts.name];
+  auto ip = machine_ip(facts.name);
+  m.host = &clockwork_.host(facts.name, ip, facts.zone, "worker");
+  m.loop = std::make_unique<Loop>(*m.host);
+  clockwork_.as(*m.host, [&] {
+    m.worker = std::make_unique<Worker>(*m.loop, facts, plan_.times, addresses_, *yard_, ip + ":9000");
+  });
+}
+
+void World::lose_machine(const std::string& name, const std::string& why) {
+  auto it = machines_.find(name);
+  if (it == machines_.end()) return;
+  Machine& m = it->second;
+  clockwork_.as(*m.host, [&] { m.worker->die(why); });
+  m.host->end(true);
+  clockwork_.as(*m.host, [&] { m.worker.reset(), m.loop.reset(); });
+  machines_.erase(it);
+}
+
+std::vector<std::string> World::some_machines(int count, const std::string& zone, bool spot_only) {
+  std::vector<std::string> out;
+  for (const auto& [name, m] : machines_)
+    if ((zone.empty() || m.host->zone() == zone) && (!spot_only || m.worker->facts().spot))
+      out.push_back(name);
+  std::shuffle(out.begin(), out.end(), clockwork_.rng());
+  if (out.size() > static_cast<std::size_t>(count)) out.resize(static_cast<std::size_t>(count));
+  return out;
+}
+
+void World::submit(const Load& load) {
+  auto& rng = clockwork_.rng();
+  Work w;
+  w.spec = load.like;
+  w.spec.id = fmt::format("run-{:06d}", ++next_job_);
+  w.spec.tasks = load.tasks[clockwork_.below(load.tasks.size())];
+  w.spec.image =
+      fmt::format("{}-{}", load.like.job_class, clockwork_.below(static_cast<std::size_t>(load.images)));
+  std::lognormal_distribution<double> spread(0, 0.35);
+  double run = load.run_s * std::clamp(spread(rng), 0.4, 2.5);
+  for (int i = 0; i < w.spec.tasks; ++i) w.run_s.push_back(run * clockwork_.uniform(0.85, 1.15));
+  w.spec.estimate_s = w.spec.kind == JobKind::Service ? 0 : run * clockwork_.uniform(0.6, 1.5);
+  w.bad = clockwork_.uniform(0, 1) < load.bad_share;
+  // Services and jobs with a mistake end by their users; so do some others.
+  double cancel = w.bad || w.spec.kind == JobKind::Service       ? clockwork_.uniform(40, 80)
+                  : clockwork_.uniform(0, 1) < load.cancel_share ? clockwork_.uniform(1, 2 * load.run_s)
+                                                                 : -1;
+  users_->submit(std::move(w), cancel);
+}
+
+void World::arm(Stream& stream) {
+  if (stream.load->per_minute <= 0 || clockwork_.now() >= plan_.jobs_until_s) return;
+  std::exponential_distribution<double> gap(stream.load->per_minute * stream.factor / 60);
+  stream.next.once(gap(clockwork_.rng()), [this, &stream] { arrivals(stream); });
+}
+void World::arrivals(Stream& stream) {
+  if (clockwork_.now() < plan_.jobs_until_s) submit(*stream.load);
+  arm(stream);
+}
+
+// ---------------------------------------------------------------- looks
+
+void World::look() {
+  clockwork_.at(clockwork_.now() + kLook, nullptr, [this] { look(); });
+  for (auto& p : processes_) {
+    if (!p->controller || p->host->standing_still() || !p->controller->leading() || p->label == leader_)
+      continue;
+    leader_ = p->label;
+    ++terms_;
+    note(fmt::format("{} leads", leader_));
+  }
+  checker_.look(fitting_work_waits());
+}
+
+bool World::fitting_work_waits() {
+  struct Room {
+    const Worker* worker;
+    Resources free;
+  };
+  std::vector<Room> rooms;
+  bool computed = false;
+  std::set<std::string> seen;
+  for (const auto& open : checker_.open(*yard_)) {
+    const JobSpec& s = open.work->spec;
+    if (!seen.insert(fmt::format("{}/{}/{}", s.job_class, s.team, s.kind == JobKind::Gang ? s.tasks : 1))
+             .second)
+      continue;
+    auto team =
+        std::find_if(plan_.teams.begin(), plan_.teams.end(), [&](const Team& t) { return t.name == s.team; });
+    Resources use = checker_.in_use(s.team);
+    use += s.at_once();
+    if (!team->allows(use)) continue;
+    if (!std::exchange(computed, true))
+      for (const auto& [name, m] : machines_) {
+        bool reached = !m.host->standing_still() && !m.sick && !m.cut;
+        reached &= std::any_of(processes_.begin(), processes_.end(), [&](const auto& p) {
+          return p->controller && !p->host->standing_still() && clockwork_.reaches(*m.host, *p->host);
+        });
+        if (reached) rooms.push_back({m.worker.get(), m.worker->free()});
+      }
+    int wanted = s.kind == JobKind::Gang ? s.tasks : 1;
+    std::map<std::string, int> there;
+    for (const auto& r : rooms) {
+      const auto& f = r.worker->facts();
+      if (!s.allows_type(f.type.name) || (s.zone && *s.zone != f.zone) || (f.spot && !s.spot)) continue;
+      int n = s.need.times_in(r.free);
+      if (n > 0 && (there[s.one_zone ? f.zone : ""] += n) >= wanted) return true;
+    }
+  }
+  return false;
+}
+
+// ---------------------------------------------------------------- troubles
+
+void World::begin(const Fault& f) {
+  note("trouble: " + fault_to_toml(f));
+  if (f.kind == "node_crash" || f.kind == "node_freeze" || f.kind == "node_roll") return node_fault(f);
+  if (f.kind.rfind("machine_", 0) == 0 || f.kind == "spot_taken") return machine_fault(f);
+  if (f.kind == "state_outage") {
+    state_->down = true;
+    return after(f.for_s, [this] { state_->down = false; });
+  }
+  if (f.kind == "cloud_outage") {
+    cloud_->down = true;
+    return after(f.for_s, [this] { cloud_->down = false; });
+  }
+  if (f.kind == "state_refuses") {
+    for (auto* p : chosen(f)) {
+      state_->refuse(p->door, true);
+      after(f.for_s, [this, p] { state_->refuse(p->door, false); });
+    }
+    return;
+  }
+  if (f.kind == "state_limits") {
+    if (f.value_kb > 0) state_->value_bytes = static_cast<std::size_t>(f.value_kb * 1024);
+    if (f.txn_ops > 0) state_->txn_ops = static_cast<std::size_t>(f.txn_ops);
+    if (f.write_rps > 0) clockwork_.as(outside_host_, [&] { state_->changes.set(f.write_rps); });
+    return;
+  }
+  if (f.kind == "job_burst") {
+    for (auto& s : streams_) {
+      if ((!f.job_class.empty() && s->load->like.job_class != f.job_class) ||
+          (!f.team.empty() && s->load->like.team != f.team))
+        continue;
+      clockwork_.as(users_host_, [&] { s->factor = f.factor, arm(*s); });
+      after(f.for_s, [this, stream = s.get()] {
+        clockwork_.as(users_host_, [&] { stream->factor = 1, arm(*stream); });
+      });
+    }
+    return;
+  }
+  cut_fault(f);
+}
+
+void World::node_fault(const Fault& f) {
+  if (f.kind == "node_roll") {
+    for (std::size_t i = 0; i < processes_.size(); ++i)
+      after(f.every_s * static_cast<double>(i), [this, i] { crash(*processes_[i]); });
+    return;
+  }
+  for (auto* p : chosen(f)) {
+    if (f.kind == "node_crash")
+      crash(*p);
+    else
+      p->host->stand_still(clockwork_.now() + f.for_s);
+  }
+}
+
+void World::machine_fault(const Fault& f) {
+  bool taken = f.kind == "spot_taken";
+  int count = f.count;
+  if (taken) count = static_cast<int>(std::ceil(f.share * some_machines(1 << 20, f.zone, true).size()));
+  for (const auto& name : some_machines(count, taken || f.kind == "machine_die" ? f.zone : "", taken)) {
+    Machine& m = machines_.at(name);
+    if (f.kind == "machine_die") {
+      clockwork_.as(outside_host_, [&] { cloud_->died(name); });
+      lose_machine(name, "died");
+    } else if (f.kind == "machine_hang") {
+      m.host->stand_still(clockwork_.now() + f.for_s);
+      clockwork_.as(*m.host, [&] {
+        m.worker->hang();
+        // Whether it hangs or not, nothing outlives the lease.
+        double left = m.worker->lease_end() - steady_now();
+        if (left < f.for_s)
+          after(left + kProofSlack, [this, name, host = m.host] {
+            auto it = machines_.find(name);
+            if (it != machines_.end() && it->second.host == host && host->standing_still())
+              clockwork_.as(*host, [&] { it->second.worker->expire(); });
+          });
+      });
+    } else if (f.kind == "machine_sick") {
+      m.sick = true;
+      m.worker->sicken(true);
+      after(f.for_s, [this, name] {
+        if (auto it = machines_.find(name); it != machines_.end())
+          it->second.sick = false, it->second.worker->sicken(false);
+      });
+    } else if (taken) {
+      if (f.notice_s > 0) clockwork_.as(*m.host, [&] { m.worker->notice(f.notice_s); });
+      after(f.notice_s, [this, name] {
+        if (!machines_.count(name)) return;
+        clockwork_.as(outside_host_, [&] { cloud_->taken(name); });
+        lose_machine(name, "taken");
+      });
+    } else {  // machine_cut
+      const Host* host = m.host;
+      m.cut = true;
+      auto between = [host](const Host& a, const Host& b) { return &a == host || &b == host; };
+      clockwork_.cut(between, f.mode == "reset" ? CutMode::Reset : CutMode::Hold, clockwork_.now() + f.for_s);
+      after(f.for_s, [this, name] {
+        if (auto it = machines_.find(name); it != machines_.end()) it->second.cut = false;
+      });
+    }
+  }
+}
+
+void World::cut_fault(const Fault& f) {
+  double until = clockwork_.now() + f.for_s;
+  CutMode mode = f.mode == "refuse" ? CutMode::Refuse : f.mode == "reset" ? CutMode::Reset : CutMode::Hold;
+  // Both ways, or only what comes from the first.
+  auto cut = [&](std::function<bool(const Host&, const Host&)> from_to) {
+    bool one_way = f.one_way;
+    clockwork_.cut([from_to, one_way](const Host& a,
+                                      const Host& b) { return from_to(a, b) || (!one_way && from_to(b, a)); },
+                   mode, until);
+  };
+  if (f.kind == "zone_cut")
+    return cut(
+        [zone = f.zone](const Host& a, const Host& b) { return a.zone() == zone && b.zone() != zone; });
+  if (f.kind == "zone_partition")
+    return cut([z = f.zones](const Host& a, const Host& b) { return a.zone() == z[0] && b.zone() == z[1]; });
+  if (f.kind == "peers_refuse") {
+    mode = CutMode::Refuse;
+    return cut([](const Host& a, const Host& b) { return a.role == "controller" && b.role == "controller"; });
+  }
+  auto to_state = [](const Host& a, const Host& b) { return a.role == "controller" && b.role == "state"; };
+  if (f.kind == "answers_lost")
+    return clockwork_.lose_answers([to_state](const Host& a, const Host& b) { return to_state(b, a); },
+                                   f.share, until);
+  if (f.kind == "state_slow") return clockwork_.slow(to_state, f.factor * 10, until);
+  for (auto* p : chosen(f)) {
+    bool all = !f.from_state && !f.from_workers && !f.from_peers;
+    // By address: whoever runs there meanwhile.
+    auto ip = p->host->ip();
+    if (f.kind == "node_slow") {
+      clockwork_.slow([ip](const Host& a, const Host& b) { return a.ip() == ip || b.ip() == ip; },
+                      f.factor * 10, until);
+      continue;
+    }
+    cut([ip, all, f](const Host& a, const Host& b) {
+      if (a.ip() != ip) return false;
+      return all || (f.from_state && b.role == "state") || (f.from_workers && b.role == "worker") ||
+             (f.from_peers && b.role == "controller");
+    });
+  }
+}
+
+// ---------------------------------------------------------------- the account
+
+std::vector<std::string> World::problems() const {
+  auto out = checker_.broken();
+  auto shares = [&](const char* what, const std::map<std::string, Checker::Share>& all) {
+    for (const auto& [name, s] : all)
+      if (s.served() < plan_.served)
+        out.push_back(fmt::format("served: {} {} only {:.2f}", what, name, s.served()));
+  };
+  shares("class", checker_.by_class());
+  shares("team", checker_.by_team());
+  return out;
+}
+
+namespace {
+struct Formatter : spdlog::formatter {
+  void format(const spdlog::details::log_msg& m, spdlog::memory_buf_t& out) override {
+    const auto* host = dynamic_cast<const Host*>(Driver::in_use);
+    fmt::format_to(std::back_inserter(out), "{:8.3f} {:<8} {} {}\n", host ? host->world_time() : 0,
+                   host ? host->name() : "", spdlog::level::to_short_c_str(m.level),
+                   std::string_view(m.payload.data(), m.payload.size()));
+  }
+  std::unique_ptr<spdlog::formatter> clone() const override { return std::make_unique<Formatter>(); }
+};
+
+double at_share(const std::vector<double>& sorted, double share) {
+  return sorted.empty()
+             ? 0
+             : sorted[std::min(sorted.size() - 1, static_cast<std::size_t>(share * sorted.size()))];
+}
+}  // namespace
+
+Json World::account() const {
+  auto shares = [](const std::map<std::string, Checker::Share>& all) {
+    Json out = Json::object();
+    for (const auto& [name, s] : all)
+      out[name] = {{"submitted", s.submitted},
+                   {"accepted", s.accepted},
+                   {"refused", s.refused},
+                   {"given_up", s.given_up},
+                   {"started", s.started},
+                   {"cancelled", s.cancelled},
+                   {"done", s.done},
+                   {"served", s.served()},
+                   {"wait_s",
+                    {{"half", at_share(s.waits, 0.5)},
+                     {"nine_in_ten", at_share(s.waits, 0.9)},
+                     {"longest", at_share(s.waits, 1)}}}};
+    return out;
+  };
+  return {{"world", plan_.name},
+          {"seconds", clockwork_.now()},
+          {"classes", shares(checker_.by_class())},
+          {"teams", shares(checker_.by_team())},
+          {"starts", checker_.starts()},
+          {"lost_task_seconds", checker_.lost_seconds()},
+          {"longest_pause_s", checker_.longest_pause()},
+          {"terms", terms_},
+          {"state_requests", state_->served},
+          {"state_over_rate", state_->over_rate},
+          {"money", cloud_->money()},
+          {"machines", machines_.size()},
+          {"events", events_},
+          {"problems", problems()},
+          {"history", fmt::format("{:016x}", history_.value)}};
+}
+
+std::string World::account_text() const {
+  std::string out = fmt::format("{}: {:.0f} s with {} controllers, {} machines at the end\n", plan_.name,
+                                clockwork_.now(), processes_.size(), machines_.size());
+  for (const auto& e : events_) out += "  " + e + "\n";
+  auto table = [&](const char* what, const std::map<std::string, Checker::Share>& all) {
+    for (const auto& [name, s] : all)
+      out += fmt::format(
+          "  {} {:<16} {:>4} submitted, {:>4} done, {:>3} cancelled, served {:.2f}; waits {:.1f} s (half), "
+          "{:.1f} s (nine in ten)\n",
+          what, name, s.submitted, s.done, s.cancelled, s.served(), at_share(s.waits, 0.5),
+          at_share(s.waits, 0.9));
+  };
+  table("class", checker_.by_class());
+  table("team ", checker_.by_team());
+  out += fmt::format(
+      "  {} starts; longest pause in placing while work that fits waited: {:.2f} s; {} requests to the state "
+      "service\n",
+      checker_.starts(), checker_.longest_pause(), state_->served);
+  for (const auto& [why, s] : checker_.lost_seconds())
+    if (s > 0) out += fmt::format("  lost to {}: {:.0f} task seconds\n", why, s);
+  auto wrong = problems();
+  out += wrong.empty() ? "  every rule held, every class and team was served\n" : "";
+  for (const auto& w : wrong) out += "  WRONG: " + w + "\n";
+  return out;
+}
+
+std::unique_ptr<spdlog::formatter> log_formatter() { return std::make_unique<Formatter>(); }
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/world.h
@@ -0,0 +1,127 @@
+// A whole cluster in one process and in stepped time: real controllers, and around them machines, users, a
+// state service, a cloud and a network, from one seed. Plays a plan and gives the account of it.
+#pragma once
+#include <spdlog/formatter.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "checker.h"
+#include "clockwork.h"
+#include "controller.h"
+#include "plan.h"
+#include "users.h"
+
+namespace corkmux::world {
+
+class World {
+ public:
+  World(Plan plan, std::uint64_t seed);
+  ~World();
+  /// Plays on until then, s of the world.
+  void run_until(double time);
+  /// Plays the plan to its end.
+  void run();
+
+  const Plan& plan() const { return plan_; }
+  const Checker& checker() const { return checker_; }
+  Clockwork& clockwork() { return clockwork_; }
+  State& state() { return *state_; }
+  /// The rules hold, and every class and team is served by at least the plan's share.
+  bool good() const { return problems().empty(); }
+  std::vector<std::string> problems() const;
+  /// What happened, a line each, told by time: troubles, terms, pauses.
+  const std::vector<std::string>& events() const { return events_; }
+  codec::Json account() const;
+  /// The account for a reader, about twenty lines.
+  std::string account_text() const;
+  /// Stands for everything that users and machines saw, in order: equal histories have equal ones.
+  std::uint64_t history() const { return history_.value; }
+
+ private:
+  struct Process {
+    std::string label, zone;
+    std::size_t door = 0;
+    Host* host = nullptr;
+    std::unique_ptr<Loop> loop;
+    std::unique_ptr<Controller> controller;
+  };
+  struct Machine {
+    Host* host = nullptr;
+    std::unique_ptr<Loop> loop;
+    std::unique_ptr<Worker> worker;
+    bool sick = false, cut = false;
+  };
+  struct Stream {
+    const Load* load;
+    double factor = 1;
+    Timer next;
+    Stream(Loop& loop, const Load& l) : load(&l), next(loop) {}
+  };
+  /// Remembers the order of what was seen as one number.
+  struct History {
+    std::uint64_t value = 1469598103934665603ull;
+    void add(std::string_view text);
+  };
+  /// Passes on to the checker, and to the history.
+  struct Recorder : Witness {
+    World& world;
+    explicit Recorder(World& w) : world(w) {}
+    void on(const std::string& machine, const std::string& type, const std::string& zone, bool spot,
+            const Work& work, int index, std::uint64_t attempt) override;
+    void off(const std::string& machine, const Work& work, int index, std::uint64_t attempt,
+             const std::string& why) override;
+    void lost(const Work& work, const std::string& why, double seconds) override;
+    void running(const Work& work, int index) override { world.checker_.running(work, index); }
+    void done(const Work& work, int index) override { world.checker_.done(work, index); }
+  };
+  Settings settings_of(const Process& process) const;
+  void start(Process& process);
+  void crash(Process& process);
+  void boot(const MachineFacts& facts);
+  void lose_machine(const std::string& name, const std::string& why);
+  std::string machine_ip(const std::string& name) const;
+  void submit(const Load& load);
+  void arrivals(Stream& stream);
+  void arm(Stream& stream);
+  void look();
+  bool fitting_work_waits();
+  void note(const std::string& what);
+
+  void begin(const Fault& fault);
+  void node_fault(const Fault& fault);
+  void machine_fault(const Fault& fault);
+  void cut_fault(const Fault& fault);
+  std::vector<Process*> chosen(const Fault& fault);
+  std::vector<std::string> some_machines(int count, const std::string& zone, bool spot_only);
+  void after(double s, std::function<void()> fn) {
+    clockwork_.at(clockwork_.now() + s, nullptr, std::move(fn));
+  }
+
+  Plan plan_;
+  Clockwork clockwork_;
+  Checker checker_;
+  Recorder recorder_{*this};
+  History history_;
+  std::vector<std::string> events_;
+  Host &outside_host_, &users_host_;
+  std::unique_ptr<Loop> outside_, users_loop_;
+  std::unique_ptr<State> state_;
+  std::unique_ptr<Yard> yard_;
+  std::unique_ptr<Cloud> cloud_;
+  std::map<std::string, std::string> addresses_;  // of controllers, for users and workers
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::map<std::string, Machine> machines_;
+  std::unique_ptr<Users> users_;
+  std::vector<std::unique_ptr<Stream>> streams_;
+  std::string leader_;
+  int next_job_ = 0, terms_ = 0;
+};
+
+/// Log lines with the world's time and the host that says them.
+std::unique_ptr<spdlog::formatter> log_formatter();
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/world_constants.h
@@ -0,0 +1,51 @@
+// Constants of the simulated surroundings, each with unit and reason. What a world's file says is not here.
+#pragma once
+
+namespace corkmux::world {
+
+// --- clocks (DEPLOY) ---
+inline constexpr double kDrift = 0.0005;     // the most by which steady clocks run fast or slow
+inline constexpr double kTimerStep = 0.001;  // s; timers fire in steps of a millisecond or a few
+inline constexpr double kEpoch = 1000;  // s of the steady clock at the start; never 0, which may mean never
+inline constexpr double kWallEpoch = 1700000000;  // s since 1970 at the start
+
+// --- network ---
+inline constexpr double kNearDelay = 0.0004;   // s one way within a zone
+inline constexpr double kFarDelay = 0.0015;    // s one way between zones and to regional services
+inline constexpr double kResendShare = 0.001;  // of messages whose packet is lost and sent again
+inline constexpr double kResend = 0.2;         // s until it is; the usual first retransmission
+
+// --- state service ---
+inline constexpr std::size_t kHistory = 10000;    // changes kept (PROTOCOL)
+inline constexpr std::size_t kMostItems = 1000;   // a page (PROTOCOL)
+inline constexpr double kGrantLate = 0.1;         // s by which a grant may end late (PROTOCOL)
+inline constexpr double kStateQuick = 0.004;      // s an answer takes, usually under 10 ms (PROTOCOL)
+inline constexpr double kStateSlowShare = 0.005;  // of answers that take longer
+inline constexpr double kStateSlow = 0.25;        // s; a few hundred ms (PROTOCOL)
+
+// --- cloud ---
+inline constexpr double kCloudAnswer = 0.05;  // s
+inline constexpr double kDeadListed = 30;     // s a dead machine is still listed as running (PROTOCOL)
+inline constexpr double kNeverUp = 0.01;      // of rented machines; "a few" (PROTOCOL)
+
+// --- workers ---
+inline constexpr double kReportSoonest = 0.5;  // s between reports that changes cause (PROTOCOL)
+inline constexpr double kReportTimeout = 4;    // s (PROTOCOL)
+inline constexpr double kNextNode = 1;         // s until the next controller is tried (PROTOCOL)
+inline constexpr double kSpeedSpread = 0.1;    // by which machines of a type differ (PROTOCOL)
+inline constexpr double kFetchSpread = 0.3;    // by which fetches differ (PROTOCOL)
+inline constexpr double kMatesNotice = 0.8;    // of gang_peer_s until gang mates notice a loss
+inline constexpr double kSickAfter = 2;        // s until a task on a faulty machine fails
+
+inline constexpr double kProofSlack = 0.05;  // s by which a hanging machine's tasks end after its lease
+
+// --- users (PROTOCOL) ---
+inline constexpr double kSubmitWait = 5, kPollWait = 2, kPollEvery = 5, kSubmitGiveUp = 60, kAgain = 1;  // s
+inline constexpr double kReadyEvery = 1, kReadyWait = 1, kReadyPause = 3, kReadyPauseMost = 60;          // s
+inline constexpr double kRefusedPause = 3;  // s without new connections after three that failed
+inline constexpr double kSilentPolls = 90;  // s in which every poll for a job fails: forgotten
+
+// --- checker ---
+inline constexpr double kLook = 0.25;  // s between looks whether work that fits waits
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/src/world/yard.h
@@ -0,0 +1,83 @@
+// What exists outside all controllers and machines: the jobs' descriptions as their users uploaded them,
+// saved progress, and the gangs, whose tasks find one another by their attempt (PROTOCOL, 'Gangs'). And the
+// witness, who is told what machines did.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "loop.h"
+#include "types.h"
+
+namespace corkmux::world {
+
+class Worker;
+
+/// A job as it really is.
+struct Work {
+  JobSpec spec;
+  std::vector<double> run_s;  // per task, on a machine of usual speed; of a gang the first counts for all
+  bool bad = false;           // submitted with a mistake: fails everywhere
+  std::vector<double> saved;  // s of progress that are safe; of a gang the first
+  std::vector<bool> done;
+};
+
+/// Is told what happens on machines; knows nothing of the controllers. Every method may be left as it is.
+class Witness {
+ public:
+  virtual ~Witness() = default;
+  /// The task has its image: from now on it is on that machine.
+  virtual void on(const std::string& /*machine*/, const std::string& /*type*/, const std::string& /*zone*/,
+                  bool /*spot*/, const Work&, int /*index*/, std::uint64_t /*attempt*/) {}
+  virtual void off(const std::string& /*machine*/, const Work&, int /*index*/, std::uint64_t /*attempt*/,
+                   const std::string& /*why*/) {}
+  /// So many seconds of a task's run were for nothing.
+  virtual void lost(const Work&, const std::string& /*why*/, double /*seconds*/) {}
+  virtual void running(const Work&, int /*index*/) {}
+  virtual void done(const Work&, int /*index*/) {}
+};
+
+class Yard {
+ public:
+  /// `now`: one clock for all machines, s.
+  Yard(Loop& loop, double gang_peer_s, Witness& witness, std::function<double()> now = steady_now);
+  ~Yard();
+  /// Null: no such job, or not submitted.
+  Work* find(const std::string& job);
+  Work& add(Work work);
+  /// Makes a job that is asked for but unknown; for tests that submit without telling.
+  std::function<Work(const std::string&)> invent;
+  Witness& witness() { return witness_; }
+  const std::map<std::string, Work>& jobs() const { return jobs_; }
+
+  // Gangs. A worker is named by the pointer, which it takes back with gone().
+  void join(Work& work, std::uint64_t attempt, int index, Worker* worker);
+  /// The task has ended for that reason, or its machine has; before the start the others go on waiting.
+  void gone(Work& work, std::uint64_t attempt, int index);
+  /// Its machine hangs: mates notice unless it wakes in time.
+  void hangs(Work& work, std::uint64_t attempt, int index);
+  void halt(Work& work, std::uint64_t attempt, int index, double mercy_s);
+  /// What a run of so many seconds is worth when it ends without saving: whole checkpoints.
+  static double kept(const Work& work, double progress);
+
+ private:
+  struct Gang;
+  using Key = std::pair<std::string, std::uint64_t>;
+  Gang* gang(const Work& work, std::uint64_t attempt);
+  void begin(const Key& key);
+  void finish(const Key& key);
+  void lose(const Key& key, const char* why);
+  void end_saving(const Key& key);
+  double progress(const Gang& gang) const;
+  Loop& loop_;
+  double gang_peer_s_;
+  Witness& witness_;
+  std::function<double()> now_;
+  std::map<std::string, Work> jobs_;
+  std::map<Key, std::unique_ptr<Gang>> gangs_;
+};
+
+}  // namespace corkmux::world
--- /dev/null
+++ b/tests/world_test.cc
@@ -0,0 +1,108 @@
+// Whole clusters in stepped time: days of our own at two sizes, whatever chance brings, and what the checker
+// must find.
+#include "world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+namespace corkmux::world {
+namespace {
+
+std::string file(const std::string& name) { return std::string(WORLDS) + "/" + name + ".toml"; }
+
+std::string told(const World& world) {
+  std::string out;
+  for (const auto& e : world.events()) out += e + "\n";
+  for (const auto& p : world.problems()) out += "WRONG: " + p + "\n";
+  return out;
+}
+
+class Days : public ::testing::TestWithParam<std::tuple<std::string, std::string>> {
+ protected:
+  void SetUp() override { spdlog::set_level(spdlog::level::off); }
+};
+
+TEST_P(Days, HoldAllRulesAndServeEveryClassAndTeam) {
+  auto [size, day] = GetParam();
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    World world(load_plan(file(size), day), seed);
+    world.run();
+    EXPECT_TRUE(world.good()) << size << "/" << day << " seed " << seed << "\n" << told(world);
+    EXPECT_GT(world.checker().starts(), 200);
+  }
+}
+std::string day_name(const ::testing::TestParamInfo<std::tuple<std::string, std::string>>& info) {
+  auto name = std::get<0>(info.param) + "_" + std::get<1>(info.param);
+  std::replace(name.begin(), name.end(), '-', '_');
+  return name;
+}
+INSTANTIATE_TEST_SUITE_P(Worlds, Days,
+                         ::testing::Combine(::testing::Values("forty", "three-hundred"),
+                                            ::testing::Values("calm", "burst", "restarts", "zone-cut",
+                                                              "zones-apart", "mass-deaths")),
+                         day_name);
+
+TEST(World, TheSameSeedGivesTheSameHistory) {
+  spdlog::set_level(spdlog::level::off);
+  auto play = [](std::uint64_t seed) {
+    World world(load_plan(file("forty"), "restarts"), seed);
+    world.run();
+    return world.account().dump();
+  };
+  auto first = play(5);
+  EXPECT_EQ(first, play(5));
+  EXPECT_NE(first, play(6));
+}
+
+/// Removes troubles as long as the world still fails: what is left says why.
+std::vector<Fault> shortest(const Plan& plan, std::uint64_t seed, std::vector<Fault> faults) {
+  auto fails = [&](const std::vector<Fault>& some) {
+    Plan p = plan;
+    p.faults = some;
+    World world(p, seed);
+    world.run();
+    return !world.good();
+  };
+  for (bool shorter = true; shorter;) {
+    shorter = false;
+    auto candidates = rc::shrink::removeChunks(faults);
+    while (auto fewer = candidates.next())
+      if (fails(*fewer)) {
+        faults = *fewer, shorter = true;
+        break;
+      }
+  }
+  return faults;
+}
+
+/// Outside CI: CORKMUX_WORLDS=FIRST-LAST plays those seeds; what fails is shrunk and kept as a file.
+TEST(World, WhateverChanceBrings) {
+  spdlog::set_level(spdlog::level::off);
+  unsigned long first = 1, last = 12;
+  const char* range = std::getenv("CORKMUX_WORLDS");
+  if (range) {
+    ASSERT_EQ(std::sscanf(range, "%lu-%lu", &first, &last), 2) << "CORKMUX_WORLDS=FIRST-LAST";
+  }
+  Plan plan = load_plan(file("forty"), "calm");
+  for (auto seed = first; seed <= last; ++seed) {
+    plan.faults = draw_faults(plan, 1 + static_cast<int>(seed % 7), seed);
+    World world(plan, seed);
+    world.run();
+    if (world.good()) continue;
+    auto least = shortest(plan, seed, plan.faults);
+    auto kept = "failed-world-" + std::to_string(seed) + ".toml";
+    std::ofstream out(kept);
+    out << "# forty, seed " << seed << "; for a [[day]] of tests/worlds/forty.toml\nfaults = [\n";
+    for (const auto& f : least) out << "  " << fault_to_toml(f) << ",\n";
+    out << "]\n";
+    ADD_FAILURE() << "seed " << seed << ", kept in " << kept << "\n" << told(world);
+  }
+}
+
+}  // namespace
+}  // namespace corkmux::world
