--- a/src/controller/gateway.cc
+++ b/src/controller/gateway.cc
@@ -188,7 +188,11 @@
   return {{"j", codec::job_to_wire(job)}, {"c", 0}, {"t", wall_now()}};
 }
 
+/// Whoever is told that a job is cancelled counts `cancel_s` from then, so the leader has to know by another
+/// way than its watch of the jobs, whose answers may be lost; also where the answer to the write that
+/// cancelled it was.
 void Gateway::note_cancelled(const std::string& job) {
+  if (finals_.count(job)) return;
   remember_final(job, "cancelled", 0);
   peers_.accepted_cancel(job);
 }
@@ -259,6 +263,7 @@
       auto kv = codec::parse_value(reply.body);
       if (!kv) return unavailable(id, "unreadable answer of the state service");
       bool cancelled = kv->value.value("c", 0) != 0;
+      if (cancelled) note_cancelled(job);
       // A record too long to be written again was cancelled elsewhere, see cancel().
       if (cancelled || kv->value.dump().size() <= record_room())
         return then(cancelled ? "cancelled" : "queued", kv->version, std::move(kv->value));
@@ -272,6 +277,7 @@
         auto kv = codec::parse_value(final.body);
         if (!kv) return unavailable(id, "unreadable answer of the state service");
         auto phase = kv->value.value("p", "");
+        if (phase == "cancelled") note_cancelled(job);
         remember_final(job, phase, kv->value.value("n", 0));
         return then(phase, 0, Json());
       }
--- a/src/controller/peers.cc
+++ b/src/controller/peers.cc
@@ -12,7 +12,7 @@
     : Actor(loop),
       label_(settings.label),
       cancel_s_(settings.cancel_s),
-      boot_((std::uint64_t{std::random_device{}()} << 20) ^ static_cast<std::uint64_t>(wall_now() * 1000)),
+      boot_((fresh_seed() << 20) ^ static_cast<std::uint64_t>(wall_now() * 1000)),
       hooks_(std::move(hooks)),
       server_(loop, settings.peer_listen, 64,
               [this](http::Server::ConnectionId id, http::Request r) { serve(id, std::move(r)); }),
@@ -23,6 +23,10 @@
 
 void Peers::start() {
   timer_.every(c::kPeerTick, [this] {
+    // A leader of ours may have begun after it was told.
+    std::vector<std::string> own;
+    for (const auto& [at, job] : cancels_) own.push_back(job);
+    if (!own.empty()) hooks_.cancelled(own);
     for (auto& [label, peer] : peers_) sync(peer);
   });
 }
@@ -43,6 +47,7 @@
 
 void Peers::accepted_cancel(const std::string& job) {
   cancels_.push_back({steady_now(), job});
+  hooks_.cancelled({job});
   if (cancels_.size() > c::kToldCancels) {
     cancels_.pop_front();
     cancels_overflowed_ = true;
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -52,6 +52,19 @@
   EXPECT_EQ(phase("one", "run-1"), "cancelled");
 }
 
+// Found in random worlds: a user was told "cancelled" by a look-up after the cancel's own answer had been
+// lost, the leader's watch was lost as well, and the tasks were still there after cancel_s.
+TEST_F(Site, ACancelReachesTheLeaderThoughItsAnswerAndTheWatchAreLost) {
+  start_controller("one");
+  ASSERT_TRUE(wait_for([&] { return !leader().empty(); }));
+  add_worker("n-1", "a", 1000);
+  EXPECT_EQ(submit("one", job("run-1", 4)), 201);
+  ASSERT_TRUE(wait_for([&] { return workers[0]->running() == 4; }));
+  state.lose_watches = state.swallow_next_txn = true;
+  EXPECT_TRUE(wait_for([&] { return call("one", "POST", "/work/run-1/withdraw", "").status == 200; }));
+  EXPECT_TRUE(wait_for([&] { return workers[0]->tasks() == 0; }, 10));
+}
+
 TEST_F(Site, RunningTasksAndAcceptedJobsOutliveEveryController) {
   start_controller("one");
   start_controller("two");
