Questions about unfinished jobs share one look at the state service

Cause: each question cost a read of the state service.

Change: src/proofs. A record that still has the stamp under which it was read says what it said then, so a transaction that only compares proves many answers (two conditions a job: the record unchanged, no end beside it). Questions take half of the state service's rate at most, shared by all controllers; each rests on a look sent after it came; who has gone without an answer for longest is first; unknown ids push out nothing.

Tests: random histories against a plain model of every record at every moment, a storm, starvation, unknown ids.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -51,6 +51,18 @@
 inline constexpr int kOutcomeReads = 4;    // awaited jobs looked up at the same time, of state.rps
 inline constexpr int kListPage = 100;      // items a page; keeps one answer far below 512 KiB
 
+// --- questions about unfinished jobs ---
+inline constexpr double kQueryShare =
+    0.5;  // of the state service's rate, of all controllers together: the rest is for what changes things
+inline constexpr double kQueryBurst = 0.5;    // s of that share that may come at once
+inline constexpr double kQueryTime = 1.2;     // s a question may wait; its user waits 2 s in all
+inline constexpr int kQueryReads = 4;         // jobs read at the same time
+inline constexpr int kQueryMisses = 3;        // comparisons that proved nothing until a job is read by itself
+inline constexpr double kQueryStep = 0.002;   // s at least between looks at what waits; timers are no finer
+inline constexpr int kMostConditions = 200;   // in one transaction; with the longest names 48 of its 64 KiB
+inline constexpr double kQueryMemory = 0.02;  // of our memory for stamps of unfinished jobs
+inline constexpr double kKnownBytes = 200;    // of memory for one of them: name, stamp, two table entries
+
 // --- standing still and ending ---
 inline constexpr double kStoodStill =
     2.0;  // s between two ticks; eight times the usual, longer than any pass
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -98,6 +98,7 @@
   s.list_lag_s = cloud.amount("list_lag_s", false);
   auto limits = cluster.sub("limits");
   s.max_connections = static_cast<int>(limits.amount("fd_limit", true));
+  s.mem_mb = limits.amount_or("mem_mb", s.mem_mb);
   return s;
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -40,6 +40,7 @@
   StateLimits next;  // what the state service may fall to once all controllers are new; never above the above
   double cloud_rps = 0, list_lag_s = 0;
   int max_connections = 1024;
+  double mem_mb = 64;  // of this process
 };
 
 /// Where Kubernetes-style clients are served, and which team each of their namespaces is.
--- a/src/controller/gateway.cc
+++ b/src/controller/gateway.cc
@@ -22,6 +22,14 @@
       peers_(peers),
       keeper_(keeper),
       mail_(mail),
+      proofs_(loop, settings, state,
+              [this](const std::string& job, Proofs::Done done) {
+                read(job, [done = std::move(done)](std::optional<Found> found) {
+                  if (!found) return done(std::nullopt);
+                  bool unfinished = found->phase == "queued";
+                  done(Proofs::Standing{unfinished, found->version, found->phase});
+                });
+              }),
       probe_(loop),
       server_(loop, settings.listen,
               static_cast<std::size_t>(std::max(16, settings.max_connections - c::kReservedSockets)),
@@ -120,10 +128,10 @@
 
 /// A job that was accepted before is answered as such, whatever is wrong with its submission.
 void Gateway::known_or(Id id, const std::string& job, int status, const std::string& why) {
-  lookup(id, job, [this, id, job, status, why](std::string phase, std::uint64_t, Json) {
-    if (phase.empty() && status == 503) return unavailable(id, why.c_str());
-    if (phase.empty()) return answer(id, status, codec::error_to_wire(why));
-    answer(id, 200, codec::view_to_wire(display(job, phase), false));
+  lookup(id, job, [this, id, job, status, why](Found found) {
+    if (found.phase.empty() && status == 503) return unavailable(id, why.c_str());
+    if (found.phase.empty()) return answer(id, status, codec::error_to_wire(why));
+    answer(id, 200, codec::view_to_wire(display(job, found.phase), false));
   });
 }
 
@@ -132,6 +140,12 @@
   accepted_.insert(job);
 }
 
+void Gateway::note_stored(const JobSpec& job, const StateReply& reply) {
+  note_accepted(job.id);
+  // All changes of a transaction share one revision, which is the record's stamp.
+  proofs_.learn(job.id, codec::parse_revision(reply.body));
+}
+
 void Gateway::check_awaited(Id id, std::shared_ptr<JobSpec> job) {
   struct Check {
     std::vector<std::string> left;  // not looked up yet
@@ -208,7 +222,7 @@
              [this, id, job, tries](StateReply reply) {
                switch (reply.status) {
                  case StateStatus::Ok:
-                   note_accepted(job->id);
+                   note_stored(*job, reply);
                    return answer(id, 201, codec::view_to_wire({job->id, "queued", 0, 0, ""}, false));
                  case StateStatus::Conflict:
                    return known_or(id, job->id, 503, "try again");
@@ -248,45 +262,50 @@
       if (done.status == StateStatus::Conflict) return known_or(id, job->id, 503, "try again");
       if (!done.ok() || (!last && steady_now() > until))
         return unavailable(id, "the state service takes no changes now");
-      if (last) return answer(id, 201, codec::view_to_wire({job->id, "queued", 0, 0, ""}, false));
+      if (last) {
+        note_stored(*job, done);
+        return answer(id, 201, codec::view_to_wire({job->id, "queued", 0, 0, ""}, false));
+      }
       store_in_pieces(id, job, until);
     });
   });
 }
 
-void Gateway::lookup(Id id, const std::string& job,
-                     std::function<void(std::string, std::uint64_t, Json)> then) {
-  state_.get(kJobs + job, [this, id, job, then = std::move(then)](StateReply reply) {
-    Json record;
-    std::uint64_t version = 0;
+void Gateway::read(const std::string& job, std::function<void(std::optional<Found>)> then) {
+  state_.get(kJobs + job, [this, job, then = std::move(then)](StateReply reply) {
+    Found found;
     if (reply.ok()) {
       auto kv = codec::parse_value(reply.body);
-      if (!kv) return unavailable(id, "unreadable answer of the state service");
+      if (!kv) return then(std::nullopt);
       bool cancelled = kv->value.value("c", 0) != 0;
       if (cancelled) note_cancelled(job);
       // A record too long to be written again was cancelled elsewhere, see cancel().
-      if (cancelled || kv->value.dump().size() <= record_room())
-        return then(cancelled ? "cancelled" : "queued", kv->version, std::move(kv->value));
-      record = std::move(kv->value);
-      version = kv->version;
+      found = {cancelled ? "cancelled" : "queued", kv->version, std::move(kv->value)};
+      if (cancelled || found.record.dump().size() <= record_room()) return then(std::move(found));
     }
-    if (!reply.ok() && reply.status != StateStatus::Missing)
-      return unavailable(id, "the state service cannot be read now");
-    state_.get(kFinals + job, [this, id, job, then, record, version](StateReply final) {
+    if (!reply.ok() && reply.status != StateStatus::Missing) return then(std::nullopt);
+    state_.get(kFinals + job, [this, job, then, found = std::move(found)](StateReply final) mutable {
       if (final.ok()) {
         auto kv = codec::parse_value(final.body);
-        if (!kv) return unavailable(id, "unreadable answer of the state service");
+        if (!kv) return then(std::nullopt);
         auto phase = kv->value.value("p", "");
         if (phase == "cancelled") note_cancelled(job);
         remember_final(job, phase, kv->value.value("n", 0));
-        return then(phase, 0, Json());
+        return then(Found{phase, 0, Json()});
       }
-      if (final.status == StateStatus::Missing) return then(version ? "queued" : "", version, record);
-      unavailable(id, "the state service cannot be read now");
+      if (final.status == StateStatus::Missing) return then(std::move(found));
+      then(std::nullopt);
     });
   });
 }
 
+void Gateway::lookup(Id id, const std::string& job, std::function<void(Found)> then) {
+  read(job, [this, id, then = std::move(then)](std::optional<Found> found) {
+    if (!found) return unavailable(id, "the state service cannot be read now");
+    then(std::move(*found));
+  });
+}
+
 codec::JobView Gateway::display(const std::string& job, const std::string& phase) const {
   codec::JobView out{job, phase, 0, 0, ""};
   if (auto f = finals_.find(job); f != finals_.end() && phase == f->second.first) {
@@ -304,24 +323,28 @@
   if (!codec::valid_job_id(job)) return answer(id, 404, codec::error_to_wire("no such job"));
   if (auto f = finals_.find(job); f != finals_.end())
     return answer(id, 200, codec::view_to_wire(display(job, f->second.first), true));
-  lookup(id, job, [this, id, job](std::string phase, std::uint64_t, Json) {
-    if (phase.empty()) return answer(id, 404, codec::error_to_wire("no such job"));
-    answer(id, 200, codec::view_to_wire(display(job, phase), true));
+  proofs_.ask(job, [this, id, job](std::optional<Proofs::Standing> standing) {
+    if (!standing) return unavailable(id, "the state service cannot be read now");
+    if (!standing->unfinished && standing->phase.empty())
+      return answer(id, 404, codec::error_to_wire("no such job"));
+    answer(id, 200,
+           codec::view_to_wire(display(job, standing->unfinished ? "queued" : standing->phase), true));
   });
 }
 
 void Gateway::cancel(Id id, const std::string& job, int tries, bool beside) {
   if (!codec::valid_job_id(job)) return answer(id, 404, codec::error_to_wire("no such job"));
-  lookup(id, job, [this, id, job, tries, beside](std::string phase, std::uint64_t version, Json record) {
-    if (phase.empty()) return answer(id, 404, codec::error_to_wire("no such job"));
-    if (phase != "queued") return answer(id, 200, codec::view_to_wire({job, phase, 0, 0, ""}, false));
-    record["c"] = 1;
-    codec::Write mark{kJobs + job, record, 0};
+  lookup(id, job, [this, id, job, tries, beside](Found found) {
+    if (found.phase.empty()) return answer(id, 404, codec::error_to_wire("no such job"));
+    if (found.phase != "queued")
+      return answer(id, 200, codec::view_to_wire({job, found.phase, 0, 0, ""}, false));
+    found.record["c"] = 1;
+    codec::Write mark{kJobs + job, std::move(found.record), 0};
     // What the first version stored may be over a limit that has fallen since: then the cancel gets a key of
     // its own.
     if (beside) mark = {kJobs + job + "/c", Json{{"c", 1}}, 0};
     Json end = {{"p", "cancelled"}, {"n", 0}, {"t", wall_now()}};
-    state_.txn({{kJobs + job, version}, {kFinals + job, 0}},
+    state_.txn({{kJobs + job, found.version}, {kFinals + job, 0}},
                {std::move(mark), {kFinals + job, std::move(end), 0}},
                [this, id, job, tries, beside](StateReply reply) {
                  if (reply.ok()) {
@@ -339,6 +362,7 @@
 void Gateway::remember_final(const std::string& job, const std::string& phase, int tasks) {
   if (!finals_.emplace(job, std::make_pair(phase, tasks)).second) return;
   views_.erase(job);
+  proofs_.forget(job);
   final_order_.push_back(job);
   if (final_order_.size() > c::kFinalCache) {
     finals_.erase(final_order_.front());
--- a/src/controller/gateway.h
+++ b/src/controller/gateway.h
@@ -10,6 +10,7 @@
 #include "leader.h"
 #include "mail.h"
 #include "peers.h"
+#include "proofs.h"
 
 namespace corkmux {
 
@@ -61,10 +62,18 @@
   void store_in_pieces(Id id, std::shared_ptr<JobSpec> job, double until);
   /// Once accepted, a job stays so: what was read or stored need not be read again.
   void note_accepted(const std::string& job);
+  /// It was accepted under this stamp, and nothing has changed it since as far as we know.
+  void note_stored(const JobSpec& job, const StateReply& reply);
   void known_or(Id id, const std::string& job, int status, const std::string& why);
-  /// Reads a job's record, then its end; `then` gets the phase, or an empty text for a job never accepted.
-  void lookup(Id id, const std::string& job,
-              std::function<void(std::string phase, std::uint64_t version, codec::Json record)> then);
+  struct Found {
+    std::string phase;          // empty: never accepted
+    std::uint64_t version = 0;  // of the record of an unfinished job
+    codec::Json record;
+  };
+  /// Reads a job's record, then its end. No value: the state service could not say.
+  void read(const std::string& job, std::function<void(std::optional<Found>)> then);
+  /// The same for a caller, who gets 503 if it cannot be read.
+  void lookup(Id id, const std::string& job, std::function<void(Found)> then);
   void query(Id id, const std::string& job);
   void cancel(Id id, const std::string& job, int tries, bool beside = false);
   void report(Id id, const std::string& body);
@@ -77,6 +86,7 @@
   Peers& peers_;
   Keeper& keeper_;
   Mail& mail_;
+  Proofs proofs_;
   Timer probe_;
   bool probing_ = false, closing_ = false;
   std::string leader_label_;
--- /dev/null
+++ b/src/proofs/proofs.cc
@@ -0,0 +1,126 @@
+#include "proofs.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "constants.h"
+#include "store_keys.h"
+
+namespace corkmux {
+namespace c = constants;
+namespace {
+
+/// Questions may take a part of the state service's rate, shared by all controllers: the rest is for
+/// submissions, cancels and the leader, whatever users ask.
+double rate(const Settings& settings) {
+  return settings.state_rps * c::kQueryShare / static_cast<double>(settings.peers.size() + 1);
+}
+/// Four conditions for each change allowed (PROTOCOL, POST /multi), of which a job takes two.
+int jobs_in_one(const Settings& settings) {
+  return std::min(4 * settings.next.txn_ops, c::kMostConditions) / 2;
+}
+std::size_t most_known(const Settings& settings) {
+  return static_cast<std::size_t>(settings.mem_mb * 1024 * 1024 * c::kQueryMemory / c::kKnownBytes);
+}
+
+}  // namespace
+
+Proofs::Proofs(Loop& loop, const Settings& settings, StateClient& state, Read read)
+    : Actor(loop),
+      state_(state),
+      read_(std::move(read)),
+      queue_(rate(settings), jobs_in_one(settings), most_known(settings)),
+      timer_(loop) {}
+
+void Proofs::ask(const std::string& job, Done done) {
+  auto ticket = next_++;
+  asking_.emplace(ticket, std::move(done));
+  queue_.ask(ticket, job, steady_now());
+  pump();
+}
+
+void Proofs::tell(const std::vector<ProofQueue::Ticket>& tickets, const std::optional<Standing>& standing) {
+  for (auto ticket : tickets) {
+    auto it = asking_.find(ticket);
+    if (it == asking_.end()) continue;
+    auto done = std::move(it->second);
+    asking_.erase(it);
+    done(standing);
+  }
+}
+
+void Proofs::pump() {
+  double now = steady_now();
+  tell(queue_.overdue(now), std::nullopt);
+  if (now >= paused_until_)
+    while (auto look = queue_.next(now)) send(std::move(*look));
+  double wait = queue_.wait(now);
+  if (wait >= 0) timer_.once(std::max({wait, paused_until_ - now, c::kQueryStep}), [this] { pump(); });
+}
+
+void Proofs::send(ProofQueue::Look look) {
+  if (look.compare)
+    compare(std::move(look));
+  else
+    read(std::move(look));
+}
+
+void Proofs::compare(ProofQueue::Look look) {
+  std::vector<codec::Condition> conditions;
+  for (std::size_t i = 0; i < look.questions.size(); ++i) {
+    // Its record unchanged and no end beside it: of a record too long to be written again only the end tells.
+    conditions.push_back({kJobs + look.questions[i].job, look.stamps[i]});
+    conditions.push_back({kFinals + look.questions[i].job, 0});
+  }
+  state_.txn(conditions, {}, [this, look = std::move(look)](StateReply reply) mutable {
+    switch (reply.status) {
+      case StateStatus::Ok:
+        queue_.answered(look);
+        for (std::size_t i = 0; i < look.questions.size(); ++i)
+          tell(look.questions[i].tickets, Standing{true, look.stamps[i]});
+        break;
+      case StateStatus::Conflict: {
+        std::unordered_set<std::string> jobs;
+        for (const auto& key : codec::parse_failed(reply.body))
+          for (const auto& prefix : {kJobs, kFinals})
+            if (key.rfind(prefix, 0) == 0) jobs.insert(key.substr(prefix.size()));
+        queue_.changed(std::move(look), jobs);
+        break;
+      }
+      case StateStatus::Invalid:
+        queue_.too_large(std::move(look));
+        break;
+      case StateStatus::Refused:
+        // Over its rate it answers soon; away, whoever asks is told so at once.
+        if (state_.last_contact() >= reply.sent_at) {
+          paused_until_ = steady_now() + c::kRetryPause;
+          queue_.put_back(std::move(look));
+          break;
+        }
+        [[fallthrough]];
+      default:
+        tell(queue_.unanswered(look), std::nullopt);
+    }
+    pump();
+  });
+}
+
+void Proofs::read(ProofQueue::Look look) {
+  auto job = look.questions.front().job;
+  read_(job, [this, look = std::move(look)](std::optional<Standing> standing) {
+    if (!standing) {
+      tell(queue_.unanswered(look), std::nullopt);
+      return pump();
+    }
+    queue_.answered(look);
+    const auto& question = look.questions.front();
+    if (standing->unfinished)
+      queue_.learn(question.job, standing->stamp);
+    else
+      queue_.forget(question.job);
+    tell(question.tickets, standing);
+    pump();
+  });
+}
+
+}  // namespace corkmux
--- /dev/null
+++ b/src/proofs/proofs.h
@@ -0,0 +1,51 @@
+// Current answers to questions about unfinished jobs, many of them from one look at the state service.
+//
+// Owns the questions that wait. Each answer rests on a look that was sent after the question came. It reads
+// and compares, and never writes; it knows nothing of connections, and nothing of jobs that are over.
+#pragma once
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "loop.h"
+#include "proof_queue.h"
+#include "settings.h"
+#include "state_client.h"
+
+namespace corkmux {
+
+class Proofs : public Actor<Proofs> {
+ public:
+  /// What a read of a job has shown.
+  struct Standing {
+    bool unfinished = false;
+    std::uint64_t stamp = 0;  // of an unfinished job's record
+    std::string phase = {};   // of any other: as it is to be told; empty: never accepted
+  };
+  /// No value: the state service could not say.
+  using Done = std::function<void(std::optional<Standing>)>;
+  using Read = std::function<void(const std::string& job, Done done)>;
+  Proofs(Loop& loop, const Settings& settings, StateClient& state, Read read);
+  /// Answered within kQueryTime, or given up on.
+  void ask(const std::string& job, Done done);
+  /// The job was accepted, or read for another reason.
+  void learn(const std::string& job, std::uint64_t stamp) { queue_.learn(job, stamp); }
+  void forget(const std::string& job) { queue_.forget(job); }
+  std::size_t known() const { return queue_.known(); }
+
+ private:
+  void pump();
+  void send(ProofQueue::Look look);
+  void compare(ProofQueue::Look look);
+  void read(ProofQueue::Look look);
+  void tell(const std::vector<ProofQueue::Ticket>& tickets, const std::optional<Standing>& standing);
+  StateClient& state_;
+  Read read_;
+  ProofQueue queue_;
+  std::unordered_map<ProofQueue::Ticket, Done> asking_;
+  ProofQueue::Ticket next_ = 1;
+  double paused_until_ = -1e9;
+  Timer timer_;
+};
+
+}  // namespace corkmux
--- /dev/null
+++ b/tests/proofs_test.cc
@@ -0,0 +1,279 @@
+// Questions about unfinished jobs: each answer as good as a read made for it, at a fraction of the requests.
+#include "proofs.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "constants.h"
+#include "state_service.h"
+
+namespace corkmux {
+namespace {
+namespace c = constants;
+
+/// The plain model: what every job's record was at every moment, and a service that executes each look by
+/// itself at some moment between its sending and its answer, or refuses it, loses it, or finds it too large.
+struct Model {
+  struct Change {
+    double at;
+    std::uint64_t stamp;  // 0: no record, the job is over
+  };
+  std::map<std::string, std::vector<Change>> history;
+  std::uint64_t at(const std::string& job, double time) const {
+    std::uint64_t stamp = 0;
+    if (auto it = history.find(job); it != history.end())
+      for (const auto& change : it->second)
+        if (change.at <= time) stamp = change.stamp;
+    return stamp;
+  }
+};
+
+class Random : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Random, EveryQuestionIsAnsweredOnceAndNeverByAnOlderLook) {
+  std::mt19937 rng(GetParam());
+  auto uniform = [&](double a, double b) { return std::uniform_real_distribution<double>(a, b)(rng); };
+  auto name = [](std::size_t i) { return "run-" + std::to_string(i); };
+  const double rate = uniform(5, 40);
+  const int room = 1 + static_cast<int>(rng() % 24);
+  // Small, so that stamps are forgotten and learnt again.
+  ProofQueue queue(rate, room, 40 + rng() % 60);
+  Model model;
+  std::uint64_t stamp = 0;
+  for (std::size_t i = 0; i < 60; ++i) model.history[name(i)].push_back({0, ++stamp});
+  struct Asked {
+    std::string job;
+    double at;
+  };
+  std::map<ProofQueue::Ticket, Asked> open;
+  struct Flight {
+    double executed, answered;
+    ProofQueue::Look look;
+  };
+  std::vector<Flight> flights;
+  ProofQueue::Ticket next = 1;
+  int looks = 0, answered = 0, given_up = 0;
+  double now = 0;
+  auto settle = [&](const std::vector<ProofQueue::Ticket>& tickets, std::optional<double> executed,
+                    bool unfinished) {
+    for (auto t : tickets) {
+      ASSERT_TRUE(open.count(t)) << "answered twice";
+      const auto& asked = open.at(t);
+      if (executed) {
+        ++answered;
+        EXPECT_GE(*executed, asked.at) << "an older look";
+        EXPECT_EQ(model.at(asked.job, *executed) != 0, unfinished);
+        EXPECT_EQ(unfinished && !model.at(asked.job, asked.at), false) << "called unfinished once it is over";
+      } else {
+        ++given_up;
+      }
+      open.erase(t);
+    }
+  };
+  for (; now < 60; now += 0.01) {
+    if (rng() % 10 == 0) {
+      auto& h = model.history.at(name(rng() % 60));
+      if (h.back().stamp) h.push_back({now, rng() % 3 ? 0 : ++stamp});
+    }
+    for (int k = 0; k < 3; ++k)
+      if (rng() % 2) {  // some ask about jobs that nobody has submitted
+        auto job = name(rng() % 8 ? rng() % 60 : 1000 + rng() % 200);
+        queue.ask(next, job, now);
+        open[next++] = {job, now};
+      }
+    settle(queue.overdue(now), std::nullopt, false);
+    while (auto look = queue.next(now)) {
+      ++looks;
+      EXPECT_LE(static_cast<int>(look->questions.size()), room);
+      double sent = now + uniform(0, 0.02);
+      flights.push_back({sent, sent + uniform(0, 0.05), std::move(*look)});
+    }
+    for (std::size_t i = 0; i < flights.size();) {
+      if (flights[i].answered > now) {
+        ++i;
+        continue;
+      }
+      auto f = std::move(flights[i]);
+      flights.erase(flights.begin() + static_cast<long>(i));
+      auto luck = rng() % 20;
+      if (luck == 0) {
+        settle(queue.unanswered(f.look), std::nullopt, false);
+      } else if (luck == 1) {
+        f.look.compare ? queue.too_large(std::move(f.look)) : queue.put_back(std::move(f.look));
+      } else if (!f.look.compare) {
+        const auto& q = f.look.questions.front();
+        queue.answered(f.look);
+        auto found = model.at(q.job, f.executed);
+        found ? queue.learn(q.job, found) : queue.forget(q.job);
+        settle(q.tickets, f.executed, found != 0);
+      } else {
+        std::unordered_set<std::string> failed;
+        for (std::size_t k = 0; k < f.look.questions.size(); ++k)
+          if (model.at(f.look.questions[k].job, f.executed) != f.look.stamps[k])
+            failed.insert(f.look.questions[k].job);
+        if (!failed.empty()) {
+          queue.changed(std::move(f.look), failed);
+        } else {
+          queue.answered(f.look);
+          for (const auto& q : f.look.questions) settle(q.tickets, f.executed, true);
+        }
+      }
+    }
+  }
+  EXPECT_LE(looks, rate * 60 + std::max(1.0, rate * c::kQueryBurst)) << "beyond its share of the rate";
+  for (const auto& [t, asked] : open) EXPECT_GT(asked.at, now - c::kQueryTime - 0.1) << "nobody answered";
+  EXPECT_GT(answered, 0);
+}
+INSTANTIATE_TEST_SUITE_P(Histories, Random, ::testing::Range(1u, 41u));
+
+// A storm: 200 jobs, each asked about every 0.6 s, which would be 333 reads a second, at 10 looks a second.
+TEST(ProofQueue, AStormIsAnsweredWithinItsShareOfTheRate) {
+  ProofQueue queue(10, 24, 1000);
+  std::map<ProofQueue::Ticket, double> asked;
+  int looks = 0;
+  double longest = 0;
+  ProofQueue::Ticket next = 1;
+  for (int i = 0; i < 200; ++i) queue.learn("run-" + std::to_string(i), static_cast<std::uint64_t>(i + 1));
+  for (int step = 0; step < 3000; ++step) {
+    double now = step * 0.01;
+    for (int i = step % 60; i < 200; i += 60) {
+      asked[next] = now;
+      queue.ask(next++, "run-" + std::to_string(i), now);
+    }
+    EXPECT_TRUE(queue.overdue(now).empty()) << now;
+    while (auto look = queue.next(now)) {
+      ++looks;
+      queue.answered(*look);
+      for (const auto& q : look->questions)
+        for (auto t : q.tickets) longest = std::max(longest, now - asked.at(t));
+    }
+  }
+  EXPECT_LE(looks, 305);
+  EXPECT_LT(longest, c::kQueryTime);
+}
+
+// 'forgotten': every poll for a job fails for 90 s while most others are answered.
+TEST(ProofQueue, NoJobGoesWithoutAnAnswerAgainAndAgain) {
+  ProofQueue queue(2, 4, 1000);  // far too little for what is asked
+  std::map<ProofQueue::Ticket, std::string> asked;
+  std::map<std::string, double> last;
+  ProofQueue::Ticket next = 1;
+  for (int i = 0; i < 100; ++i) {
+    auto job = "run-" + std::to_string(i);
+    queue.learn(job, 1), last[job] = 0;
+  }
+  for (int step = 0; step < 12000; ++step) {
+    double now = step * 0.01;
+    if (step % 200 == 0)  // always in the same order
+      for (int i = 0; i < 100; ++i) {
+        asked[next] = "run-" + std::to_string(i);
+        queue.ask(next++, asked[next], now);
+      }
+    queue.overdue(now);
+    while (auto look = queue.next(now)) {
+      queue.answered(*look);
+      for (const auto& q : look->questions) last[q.job] = now;
+    }
+  }
+  for (const auto& [job, at] : last) EXPECT_GT(at, 120 - 90) << job;
+}
+
+TEST(ProofQueue, AskingAboutUnknownJobsPushesOutNothing) {
+  ProofQueue queue(1000, 24, 10);
+  for (int i = 0; i < 10; ++i) queue.learn("run-" + std::to_string(i), 1);
+  for (int i = 0; i < 5000; ++i) {
+    queue.ask(static_cast<std::uint64_t>(i + 1), "run-none-" + std::to_string(i), i);
+    while (auto look = queue.next(i)) queue.answered(*look);
+  }
+  EXPECT_EQ(queue.known(), 10u);
+}
+
+// ---------------------------------------------------------------- against a state service
+
+struct ProofsTest : ::testing::Test {
+  Loop loop;
+  world::State state{loop};
+  StateClient client{loop, state.address()};
+  std::unique_ptr<Proofs> proofs;
+  void SetUp() override {
+    Settings s;
+    s.state_rps = 400, s.next = {500, 8, 12};
+    proofs = std::make_unique<Proofs>(loop, s, client, [this](const std::string& job, Proofs::Done done) {
+      client.get("a/" + job, [done](StateReply r) {
+        if (r.ok()) return done(Proofs::Standing{true, codec::parse_value(r.body)->version});
+        if (r.status == StateStatus::Missing) return done(Proofs::Standing{false, 0, "done"});
+        done(std::nullopt);
+      });
+    });
+  }
+  void run(const std::function<bool()>& condition) {
+    double until = steady_now() + 20;
+    while (!condition() && steady_now() < until) loop.run_once();
+  }
+};
+
+TEST_F(ProofsTest, ManyQuestionsShareOneRequestAndAChangeIsSeen) {
+  int told = 0, over = 0;
+  auto ask_all = [&] {
+    told = over = 0;
+    for (int i = 0; i < 20; ++i)
+      for (int twice = 0; twice < 2; ++twice)
+        proofs->ask("run-" + std::to_string(i), [&](std::optional<Proofs::Standing> s) {
+          ASSERT_TRUE(s);
+          ++told, over += !s->unfinished;
+        });
+    run([&] { return told == 40; });
+    EXPECT_EQ(told, 40);
+  };
+  for (int i = 0; i < 20; ++i) state.put("a/run-" + std::to_string(i), {{"c", 0}});
+  ask_all();
+  EXPECT_EQ(over, 0);
+  auto before = state.served;
+  ask_all();
+  EXPECT_LE(state.served - before, 3u);
+  state.remove("a/run-7");
+  ask_all();
+  EXPECT_EQ(over, 2);
+}
+
+TEST_F(ProofsTest, AnEndBesideAnUnchangedRecordIsSeen) {
+  state.put("a/run-1", {{"c", 0}});
+  proofs->learn("run-1", 1);
+  state.put("f/run-1", {{"p", "cancelled"}});  // of a record too long to be written again
+  bool told = false, read = false;
+  Settings s;
+  s.state_rps = 400, s.next = {500, 8, 12};
+  Proofs other(loop, s, client, [&](const std::string&, Proofs::Done done) {
+    read = true;
+    done(Proofs::Standing{false, 0, "cancelled"});
+  });
+  other.learn("run-1", 1);
+  other.ask("run-1", [&](std::optional<Proofs::Standing> standing) {
+    told = true;
+    ASSERT_TRUE(standing);
+    EXPECT_EQ(standing->phase, "cancelled");
+  });
+  run([&] { return told; });
+  EXPECT_TRUE(read);
+}
+
+TEST_F(ProofsTest, AnOutageIsToldAtOnce) {
+  state.put("a/run-1", {{"c", 0}});
+  proofs->learn("run-1", 1);
+  state.down = true;
+  bool told = false;
+  double before = steady_now();
+  proofs->ask("run-1", [&](std::optional<Proofs::Standing> standing) {
+    told = true;
+    EXPECT_FALSE(standing);
+  });
+  run([&] { return told; });
+  EXPECT_TRUE(told);
+  EXPECT_LT(steady_now() - before, 1);
+}
+
+}  // namespace
+}  // namespace corkmux
