Keepers' records are conditioned on their stamps and outlive a quick restart

Cause, found by reading for quick restarts: the records that entitle a keeper to answer were written without a condition, and a new life began them from nothing. (1) A write of a former life, or one given up on, that is applied late replaced a newer record: the worker it no longer named was answered, and the leader could have started its tasks a second time. (2) A process back within a second overwrote its former life's record sooner than the leader, which looks every 1.5 s, could have seen it.

Change: a keeper reads its records before its first write and after each one whose fate is unknown, goes on naming those it finds until their answers no longer count, and conditions every write on the stamps read.

Tests: both cases in tests/keeper_test.cc; without the condition the late write is applied (status 200 instead of 409).

--- a/src/controller/keeper.cc
+++ b/src/controller/keeper.cc
@@ -53,6 +53,36 @@
 void Keeper::write() {
   if (writing_) return;
   timer_.stop();
+  writing_ = true;
+  if (stamps_)
+    store();
+  else
+    read_own();
+}
+
+/// Guards against a worker that no record names though it was answered. A process may be back within a
+/// fraction of a second, sooner than the leader looks at records again: whom its former life answered stays
+/// in them for as long as that answer may count. And a write of the former life, or one of ours that was
+/// given up on, may be applied late: it is conditioned on stamps that are gone by then.
+void Keeper::read_own() {
+  auto found = std::make_shared<std::pair<std::map<std::string, std::uint64_t>, std::set<std::string>>>();
+  state_.read_all(
+      key_, "",
+      [this, found](codec::KeyValue& kv) {
+        if (kv.key != key_ && kv.key.rfind(key_ + "/", 0) != 0)
+          return;  // another's, whose name begins as ours
+        found->first[kv.key] = kv.version;
+        for (auto& name : machines_in(kv.value)) found->second.insert(std::move(name));
+      },
+      [this, found](const ReadEnd& end) {
+        if (!end.ok()) return stored(false);
+        stamps_ = std::move(found->first);
+        for (const auto& name : found->second) seen_.try_emplace(name, steady_now());
+        store();
+      });
+}
+
+void Keeper::store() {
   double now = steady_now();
   std::erase_if(seen_, [&](const auto& e) { return now - e.second > forget_after_; });
   // Guards against one that never gets its answer: a worker may be released, by an answer that came late
@@ -64,8 +94,10 @@
     names.insert(name);
     names_bytes_ += name_bytes(name);
   }
-  if (names.empty() && !stored_records_) return;
-  writing_ = true;
+  if (names.empty() && stamps_->empty()) {
+    writing_ = false;
+    return;
+  }
   // As many records as their room asks for, all in one transaction.
   std::vector<Json> lists;
   std::size_t bytes = room_;
@@ -74,37 +106,53 @@
     lists.back().push_back(name);
     bytes += name_bytes(name);
   }
-  int used = static_cast<int>(lists.size());
+  std::vector<codec::Condition> conditions;
   std::vector<codec::Write> writes;
-  for (int i = 0; i < std::max(used, stored_records_); ++i) {
+  for (std::size_t i = 0; i < std::max(lists.size(), stamps_->size()); ++i) {
     std::optional<Json> value;
-    if (i < used) value = Json{{"m", std::move(lists[static_cast<std::size_t>(i)])}, {"n", ++count_}};
-    writes.push_back({i ? key_ + "/" + std::to_string(i) : key_, std::move(value), 0});
+    if (i < lists.size()) value = Json{{"m", std::move(lists[i])}, {"n", ++count_}};
+    std::string key = i ? key_ + "/" + std::to_string(i) : key_;
+    auto stamp = stamps_->find(key);
+    conditions.push_back({key, stamp == stamps_->end() ? 0 : stamp->second});
+    writes.push_back({std::move(key), std::move(value), 0});
   }
-  state_.txn({}, writes, [this, names, now, used](StateReply reply) {
-    writing_ = false;
+  state_.txn(conditions, writes, [this, names, now, writes](StateReply reply) {
     if (reply.ok()) {
-      stored_records_ = used;
       written_ = names;
       written_at_ = now;
-    } else {
-      stored_records_ = std::max(stored_records_, used);  // they may be there: removed or replaced later
-    }
-    std::vector<std::pair<Report, Reply>> later;
-    for (auto& [report, answer] : std::exchange(waiting_, {})) {
-      if (!reply.ok())
-        answer(503, "");
-      else if (entitled(report.machine))
-        check_jobs(report, answer);
-      else  // came while this was written
-        later.push_back({std::move(report), std::move(answer)});
+      for (const auto& w : writes) {
+        if (w.value)
+          (*stamps_)[w.key] = codec::parse_revision(reply.body);
+        else
+          stamps_->erase(w.key);
+      }
+    } else if (reply.status != StateStatus::Refused) {
+      // Changed by a late write, or it may be there: read again before the next.
+      stamps_.reset();
     }
-    // Guards against sending workers on, into the cut, that only came a moment too late for this write.
-    waiting_ = std::move(later);
-    timer_.once(waiting_.empty() ? span_ / 3 : c::kKeeperGather, [this] { write(); });
+    // Once more at once; who still conflicts then is another process under our name, and takes turns with us.
+    conflicts_ = reply.status == StateStatus::Conflict ? conflicts_ + 1 : 0;
+    if (conflicts_ == 1) return read_own();
+    stored(reply.ok());
   });
 }
 
+void Keeper::stored(bool ok) {
+  writing_ = false;
+  std::vector<std::pair<Report, Reply>> later;
+  for (auto& [report, answer] : std::exchange(waiting_, {})) {
+    if (!ok)
+      answer(503, "");
+    else if (entitled(report.machine))
+      check_jobs(report, answer);
+    else  // came while this was written
+      later.push_back({std::move(report), std::move(answer)});
+  }
+  // Guards against sending workers on, into the cut, that only came a moment too late for this write.
+  waiting_ = std::move(later);
+  timer_.once(waiting_.empty() ? span_ / 3 : c::kKeeperGather, [this] { write(); });
+}
+
 bool Keeper::all_known(const Asking& a) const {
   // Guards against stopping a task whose job was accepted after the jobs were read: only a read that began
   // after the report came shows that a job is over.
--- a/src/controller/keeper.h
+++ b/src/controller/keeper.h
@@ -7,6 +7,7 @@
 // last have been used.
 #pragma once
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_set>
@@ -33,7 +34,12 @@
     Reply reply;
     double since;
   };
+  /// Whoever waits is answered, or waits for the next write.
   void write();
+  /// What stands in our records: their stamps, and whom they entitle us, or a former life of ours, to answer.
+  void read_own();
+  void store();
+  void stored(bool ok);
   /// Answers once the report's tasks are known to be of unfinished jobs, or not to be.
   void check_jobs(const Report& report, const Reply& reply);
   bool all_known(const Asking& a) const;
@@ -45,11 +51,13 @@
   double span_, forget_after_;
   std::size_t room_, names_bytes_ = 0;  // of a record that names machines, and of all names
   int records_;                         // that one transaction may write: all are written together
-  int stored_records_ = 0;              // that may be there
+  /// Stamps of our records; none: not known, so they are read before the next write.
+  std::optional<std::map<std::string, std::uint64_t>> stamps_;
   std::map<std::string, double> seen_;  // machine -> last report
   std::set<std::string> written_;
   double written_at_ = -1e9;
   bool writing_ = false;
+  int conflicts_ = 0;  // in a row
   std::uint64_t count_ = 0;
   std::vector<std::pair<Report, Reply>> waiting_;
   std::vector<Asking> asking_;                         // for a read of the jobs that began after they came
--- a/tests/keeper_test.cc
+++ b/tests/keeper_test.cc
@@ -115,5 +115,35 @@
   EXPECT_EQ(second, 200);
 }
 
+// A process may be back within a fraction of a second. A worker that its former life answered must stay named
+// until that answer no longer counts, or the leader may start its tasks a second time: it may look too seldom
+// to have seen the former life's record.
+TEST_F(KeeperTest, ANewLifeGoesOnNamingWhomTheFormerAnswered) {
+  put({{"j", 1}, {"c", 0}});
+  report.machine = "n-1";
+  ASSERT_EQ(keep().first, 200);
+  SetUp();  // the next life
+  report.machine = "n-2";
+  ASSERT_EQ(keep().first, 200);
+  EXPECT_EQ(machines_in(state.values().at("k/one")), (std::vector<std::string>{"n-1", "n-2"}));
+}
+
+// A write of a former life, held up on the way, is applied after the new life has written and answered.
+TEST_F(KeeperTest, ALateWriteOfAFormerLifeDoesNotReplaceWhatEntitlesThisOne) {
+  put({{"j", 1}, {"c", 0}});
+  state.hold_prefix = "k/";
+  keeper->keep(report, [](int, std::string) {});
+  double until = steady_now() + 20;
+  while (!state.holds() && steady_now() < until) loop.run_once();
+  ASSERT_TRUE(state.holds());
+  state.hold_prefix.clear();
+  auto former = std::move(keeper);  // it ended; nobody hears the answer
+  SetUp();
+  report.machine = "n-2";
+  ASSERT_EQ(keep().first, 200);
+  EXPECT_EQ(state.release(), std::vector<int>{409});
+  EXPECT_EQ(machines_in(state.values().at("k/one")), std::vector<std::string>{"n-2"});
+}
+
 }  // namespace
 }  // namespace corkmux
