A leader that stood still does nothing before its term is confirmed again

Change: whatever wakes it first (a report, a pass, the tick) finds out that it stood still and asks at once whether the grant holds; until that is confirmed no lease is judged, nothing is placed or ordered, and reports wait, for a second at most (in an outage nothing is confirmed). Reports held back are bounded by the connections they hold, no longer by 200: after all controllers have ended every worker comes at once; the listen backlog follows. An answer that took longer than a question may wait is not told.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -19,7 +19,7 @@
 inline constexpr std::size_t kMaxResponseBody =
     8 * 1024 * 1024;                                  // bytes; a watch has no limit, our memory has
 inline constexpr std::size_t kReadChunk = 16 * 1024;  // bytes read per wake-up
-inline constexpr int kListenBacklog = 256;            // connections; a reconnect storm of a small site
+inline constexpr int kListenBacklog = 4096;    // connections; after all ended, workers and users at once
 inline constexpr int kReservedSockets = 160;   // sockets kept for workers' orders, peers, state and cloud
 inline constexpr double kIdleConnection = 75;  // s; users poll each 5 s, workers report each few seconds
 
@@ -125,6 +125,26 @@
 inline constexpr double kGatherPatience =
     5.0;  // s; what is kept idle meanwhile costs more than the gang's wait beyond
 
+// --- a floor for every class and team (docs/balance.md) ---
+inline constexpr double kFloorFrom =
+    450.0;  // s until its end that work takes, waiting included, until it counts as in arrears: the operators
+            // count by days of some ten minutes, and what ends within three quarters of one is served
+inline constexpr double kFloorFull = 600.0;  // s; by then all shelves
+inline constexpr std::size_t kFloorGroups =
+    1000;  // classes or teams remembered as served; users name classes
+inline constexpr double kFloorHas =
+    0.2;  // of the fleet; whoever uses more has its floor: all shelves and a third
+inline constexpr double kShutOut =
+    120.0;  // s in which nothing at all of a class or team runs while some of it waits: one shelf
+inline constexpr double kFloorWindow = 600.0;  // s; such a day, over which what was served counts
+inline constexpr double kFloorAim = 0.65;   // of what came; the operators' mark is half, the rest is for luck
+inline constexpr double kFloorEvery = 1.0;  // s between looks
+inline constexpr double kFloorRise = 30.0;  // s until all shelves are kept; a burst's first seconds pass
+inline constexpr double kFloorFall = 60.0;  // s until none is; slower than it comes, so that it does not flap
+inline constexpr double kFloorShelf = 0.08;  // of the machines on one shelf, about
+inline constexpr int kFloorShelves = 2;      // some 15% of the machines at most; each makes pools of its own
+inline constexpr double kFloorNoEstimate = 60.0;  // s; work without one counts as so long for those behind it
+
 // --- preemption ---
 inline constexpr double kClaimAfter =
     0.25;  // of the guarantee's aim that a job waits before it claims its places
@@ -134,10 +154,15 @@
 inline constexpr std::size_t kStopLooks =
     512;  // machines or tasks looked at for one job that may stop others; bounds a decision
 inline constexpr double kFreshStart = 30.0;  // s; PROTOCOL counts a start only if it is left alone that long
-inline constexpr double kKeepRoom = 8.0;     // s a machine is kept for the job that work was stopped for
+inline constexpr double kResumeTime =
+    1.0;  // s a leader that stood still waits for the state service to confirm it; answers take ms
+inline constexpr double kKeepRoom = 8.0;  // s a machine is kept for the job that work was stopped for
 
 // --- sick machines and bad jobs ---
-inline constexpr int kSickErrors = 2;      // errors in a row from different jobs
+inline constexpr double kBlameSick = 1.5;   // two jobs that failed nowhere else, with half a one to spare
+inline constexpr double kBlameWait = 10.0;  // s that a machine's failures are weighed before it is given up;
+                                            // jobs are tried elsewhere meanwhile
+inline constexpr std::size_t kBlamedJobs = 8;  // of a machine that are remembered; two or three decide
 inline constexpr int kBadJobMachines = 3;  // machines a job failed on before it is held to be its own fault
 inline constexpr double kSuspectTime = 60.0;      // s a machine with one error is avoided
 inline constexpr double kErrorBackoff = 2.0;      // s, doubled per failure of a job
@@ -174,10 +199,8 @@
 inline constexpr std::size_t kMaxTypes = 64;  // machine types a job may name
 
 // --- peers ---
-inline constexpr double kPeerTick = 1.0;     // s between summaries
-inline constexpr double kPeerTimeout = 1.0;  // s
-inline constexpr std::size_t kParkedReports =
-    200;                                          // reports held while a new leader loads, some milliseconds
+inline constexpr double kPeerTick = 1.0;          // s between summaries
+inline constexpr double kPeerTimeout = 1.0;       // s
 inline constexpr std::size_t kToldCancels = 500;  // accepted cancels repeated to peers; about 6 KB
 inline constexpr double kRelayTimeout = 2.5;      // s; the worker waits 4 s
 inline constexpr double kPeerLost = 3.0;          // s without an answer: reports are not relayed there
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -28,6 +28,10 @@
   /// What made us unready may be over.
   void retry();
   bool leading() const { return role_ == Role::Leading; }
+  /// Asks at once whether the grant still holds.
+  void renew_now() {
+    if (role_ == Role::Leading) renew();
+  }
   /// Whether the leader's record is still ours; otherwise the term is lost.
   void verify();
   /// Gives the grant back, so that a successor is chosen at once. `pause_s`: leaves the others that time. Any
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -22,7 +22,9 @@
                 {[this] { return !catalog_.types().empty(); }, [this](const Election::Won& w) { won(w); },
                  [this](const char* why) { end(why); },
                  [this](double sent_at) {
-                   if (reign_) reign_->term.confirmed(sent_at);
+                   if (!reign_) return;
+                   reign_->term.confirmed(sent_at);
+                   answer_parked();
                  },
                  [this](std::string label, std::uint64_t term) { hooks_.leader_changed(label, term); }}),
       membership_(loop, settings, state),
@@ -114,10 +116,19 @@
   tick_timer_.every(c::kLeaderTick, [this] { tick(); });
   r.feed->follow();
   r.fleet->start();
-  for (auto& p : std::exchange(r.parked, {})) handle_report(p.report, p.way, p.reply);
+  answer_parked();
   react();
 }
 
+void Leader::answer_parked() {
+  if (!leading() || !resumed()) return;
+  for (auto& p : std::exchange(reign_->parked, {}))
+    if (reign_)
+      handle_report(p.report, p.way, p.reply);
+    else
+      p.reply(503, "");
+}
+
 void Leader::end(const char* why) {
   if (!reign_) return;
   spdlog::warn("no longer leading: {}", why);
@@ -185,8 +196,9 @@
 
 void Leader::report(Report r, Way way, ReportReply reply) {
   if (!reign_) return reply(503, "");
-  if (leading()) return handle_report(r, way, reply);
-  if (reign_->parked.size() >= c::kParkedReports) return reply(503, "");
+  if (leading() && resumed()) return handle_report(r, way, reply);
+  // Each holds a connection, and these are bounded: after all controllers ended, every worker comes at once.
+  if (reign_->parked.size() >= static_cast<std::size_t>(settings_.max_connections)) return reply(503, "");
   reign_->parked.push_back({std::move(r), way, std::move(reply)});
 }
 
@@ -221,7 +233,7 @@
   for (const auto& note : r.book->take_notes()) spdlog::info("{}", note);
   for (const auto& detail : r.book->take_details()) spdlog::debug("{}", detail);
   if (!r.book->unknown().empty()) r.feed->look_up_awaited();
-  r.orders->flush();
+  if (resumed()) r.orders->flush();
   r.writer->pump();
   if (r.book->want_plan() && !plan_timer_.active() && !r.term.resigning) {
     double wait = std::max(0.005, r.last_plan + c::kPassPause - steady_now());
@@ -233,7 +245,7 @@
   if (!leading() || reign_->term.resigning) return;
   double now = reign_->last_plan = steady_now();
   // Without the state service nothing can be started; bids would only pile up.
-  if (reign_->term.fresh(now)) reign_->book->plan(now);
+  if (awake() && reign_->term.fresh(now)) reign_->book->plan(now);
   spdlog::debug("placed in {:.1f} ms", 1e3 * (steady_now() - now));
   react();
 }
@@ -244,31 +256,47 @@
   if (!leading()) return;
   Reign& r = *reign_;
   double now = steady_now();
-  // Guards against a process that stood still while its clocks ran on: the silence that it finds is its own.
-  if (now - r.last_tick > c::kStoodStill) {
-    spdlog::warn(
-        "stood still for {:.1f} s: nothing is judged by time until workers and the state service spoke",
-        now - r.last_tick);
-    r.term.woke_at = now;
-    r.last_report = now;
-    r.book->stood_still(now);
-  }
-  r.last_tick = now;
+  const bool certain = awake();
   bool away = !r.term.fresh(now);
   if (away != r.state_away) {
     r.state_away = away;
     spdlog::warn(away ? "the state service is away: tasks are kept alive, nothing new is started"
                       : "the state service is back");
   }
-  ask_forms();
-  r.book->tick(now);
+  if (certain) {
+    ask_forms();
+    r.book->tick(now);
+    r.leases->tick();
+  }
   r.orders->sweep();
   push_views();
-  r.leases->tick();
   check_reach();
+  answer_parked();
   react();
 }
 
+/// Guards against a process that stood still while its clocks ran on, and finds out wherever it is woken: the
+/// silence that it finds is its own, leases that seem over were renewed by whoever leads by now, and until
+/// the state service has confirmed the term nothing that it knows is more than a memory.
+bool Leader::awake() {
+  Reign& r = *reign_;
+  double now = steady_now();
+  if (now - r.last_tick > c::kStoodStill) {
+    spdlog::warn(
+        "stood still for {:.1f} s: nothing is judged by time until workers and the state service spoke",
+        now - r.last_tick);
+    r.term.woke_at = now;
+    r.last_report = now;
+    r.book->stood_still(now);
+    election_.renew_now();
+  }
+  r.last_tick = now;
+  return r.term.awake();
+}
+
+/// In an outage the state service confirms nothing, and workers that nobody answers lose their tasks.
+bool Leader::resumed() { return awake() || steady_now() - reign_->term.woke_at > c::kResumeTime; }
+
 void Leader::ask_forms() {
   Reign& r = *reign_;
   double now = steady_now();
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -81,6 +81,11 @@
   void all_are_new(const char* why);
   void handle_report(const Report& report, Way way, const ReportReply& reply);
   void react();
+  /// Whether the state service has confirmed the term since the process last stood still.
+  bool awake();
+  /// Nor will it soon: what must not wait any longer goes on.
+  bool resumed();
+  void answer_parked();
   void run_plan();
   void tick();
   void ask_forms();
--- a/src/proofs/proofs.cc
+++ b/src/proofs/proofs.cc
@@ -73,6 +73,8 @@
     conditions.push_back({kFinals + look.questions[i].job, 0});
   }
   state_.txn(conditions, {}, [this, look = std::move(look)](StateReply reply) mutable {
+    // Guards against a process that stood still meanwhile: what was so then is not told now.
+    if (steady_now() - reply.sent_at > c::kQueryTime) reply.status = StateStatus::Unanswered;
     switch (reply.status) {
       case StateStatus::Ok:
         queue_.answered(look);
