A floor for every class and team; failures weighed over jobs and machines

Change: (1) src/book/floor.h: what will not end in 450 s, of classes and teams that are served by less than 0.65 and use less than a fifth of the fleet, or of which nothing has run for 120 s, gets up to two shelves of machines (8% each, by a hash of their names) of its own. (2) src/book/blame.h: a failure speaks against the machine as far as the job does well elsewhere, and against the job as far as the machine does well by others; a machine's failures are weighed for 10 s; a job that fails by itself is tried with one task.

Tests: both against a plain model of machines, jobs and users over minutes (tests/book_model.h); floods, shut-out classes, flapping, a new leader.

--- a/src/book/cluster.cc
+++ b/src/book/cluster.cc
@@ -97,6 +97,7 @@
   Job& job = it->second;
   while (!job.active.empty()) unassign(job, job.active.begin()->first, 0);
   auto awaited = std::move(job.spec.awaits);
+  settle_blame(job);
   job_index_.remove(job);
   jobs_.erase(it);
   changed_.erase(id);
@@ -115,7 +116,7 @@
   return n;
 }
 std::string Cluster::reason(const Job& job) const {
-  return job.queued > 0 || job.failures > 0 ? job.why : "";
+  return job.queued > 0 || !job.failed_on.empty() ? job.why : "";
 }
 
 void Cluster::assign(Job& job, int index, Machine& m, std::uint64_t attempt, double now) {
@@ -136,6 +137,7 @@
   m.free -= job.spec.need;
   ++m.heat;
   use_[job.spec.team] += job.spec.need;
+  class_use_[job.spec.job_class] += job.spec.need;
   changed_.insert(job.spec.id);
   count_task(m, job, a, 1);
   refile(m, now);
@@ -185,6 +187,9 @@
   if (it->second.stop) stopping_use_[job.spec.team] -= job.spec.need;
   job.active.erase(it);
   use_[job.spec.team] -= job.spec.need;
+  // Classes are whatever users call them: of those that use nothing, nothing is kept.
+  if (auto use = class_use_.find(job.spec.job_class); use != class_use_.end())
+    if ((use->second -= job.spec.need).cpus < 1e-6 && use->second.memory_gb < 1e-6) class_use_.erase(use);
   if (job.phase[index] == TaskPhase::Active) {
     job.phase[index] = TaskPhase::Queued;
     ++job.queued;
@@ -245,45 +250,20 @@
   if (job.spec.kind == JobKind::Gang)
     for (int i = 0; i < job.spec.tasks; ++i) finish(i);
   job.why.clear();
-  if (job.over()) ending_.insert(job.spec.id);
-}
-
-void Cluster::machine_error(Machine& m, Job& job, double now) {
-  job.failed_on.insert(m.name);
-  ++job.failures;
-  // A job that failed on several machines is its own fault; it must not take machines down with it.
-  bool bad_job = static_cast<int>(job.failed_on.size()) >= c::kBadJobMachines;
-  job.not_before =
-      now + (job.failures < c::kBadJobMachines
-                 ? 0
-                 : std::min(c::kErrorBackoffMax,
-                            c::kErrorBackoff * std::pow(2.0, job.failures - c::kBadJobMachines)));
-  job.why = bad_job ? "failed on " + std::to_string(job.failed_on.size()) +
-                          " machines, most likely the job itself; tried again with pauses"
-                    : "failed on " + m.name + ", started again elsewhere";
-  if (bad_job) return;
-  m.suspect_until = now + c::kSuspectTime;
-  if (m.last_error_job != job.spec.id) ++m.errors;
-  m.last_error_job = job.spec.id;
-  if (m.errors >= c::kSickErrors && !m.sick) {
-    m.sick = true;
-    notes_.push_back("machine " + m.name + " fails work of different jobs: drained and returned");
-  }
+  if (job.over() && ending_.insert(job.spec.id).second) floor_.served(job.spec.job_class, job.spec.team, now);
 }
 
 void Cluster::exited(Job& job, int index, const TaskReport& t, Machine& m, double now) {
   auto it = job.active.find(index);
   if (it == job.active.end()) return;
   if (t.why == ExitReason::Done && !job.cancelled) {
-    m.errors = 0;
-    m.suspect_until = -1e9;
-    m.last_error_job.clear();
+    went_well(m, job);
     task_done(job, index, now);
     return;
   }
   switch (t.why) {
     case ExitReason::Error:
-      machine_error(m, job, now);
+      failed(m, job, now);
       break;
     case ExitReason::NoRoom:
       m.full_until = now + config_.report_s;
@@ -385,6 +365,7 @@
         doom(name, now);
       }
     }
+    judge(m, now);
     if (m.sick && !m.doomed) {
       drain(m, now);
       if (m.tasks.empty()) doom(name, now);
--- a/src/book/cluster.h
+++ b/src/book/cluster.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "constants.h"
+#include "floor.h"
 #include "job_index.h"
 #include "room_index.h"
 #include "types.h"
@@ -88,11 +89,12 @@
   bool ready() const { return unmet.empty() && !orphaned && !cancelled; }
   bool over() const { return cancelled || orphaned || done == spec.tasks; }
   std::vector<TaskPhase> phase;
-  int done = 0, queued = 0, cursor = 0, failures = 0;
+  int done = 0, queued = 0, cursor = 0;
+  bool bad = false;  // fails wherever it starts, as far as can be told
   double not_before = 0, accepted_at = 0, room_made_at = -1e9, reclaimed_at = -1e9;
   std::map<int, ActiveTask> active;
   std::map<int, Shard> shards;
-  std::set<std::string> failed_on;
+  std::set<std::string> failed_on;  // machines that do not count as faulty by others
   std::string why, why_told;
   JobIndex::Indexed indexed;
 };
@@ -109,8 +111,14 @@
   double idle_since = -1e9;
   double suspect_until = -1e9, full_until = -1e9, probe_at = -1e9;
   bool up = false, doomed = false, direct = true, orders_in_flight = false, sick = false;
-  std::string last_error_job;
-  int errors = 0, heat = 0;
+  /// Jobs that failed here since it last completed anything.
+  struct Blamed {
+    int times = 0;
+    bool well = false;  // the job has ended since, as one that does well
+  };
+  std::map<std::string, Blamed> blamed;
+  double blamed_since = -1;
+  int heat = 0;
   double fetch_s = 0;  // of the image of the job that pick() last looked at it for
   double slack_slope = 0, heat_slope = 0, seen_slack = 1, seen_heat = 0, seen_at = -1e9;
   std::set<std::pair<std::string, int>> tasks;
@@ -263,7 +271,14 @@
   void abort_gang(Job& job, double now);
   void stop_task(Job& job, int index, double grace_s);
   void drain(Machine& m, double now);
-  void machine_error(Machine& m, Job& job, double now);
+  // (cluster_blame.cc)
+  void failed(Machine& m, Job& job, double now);
+  void went_well(Machine& m, Job& job);
+  /// Weighs what failed on it; a machine that counts as faulty is drained and returned.
+  void judge(Machine& m, double now);
+  double blame(const Machine& m, const std::string& without_job) const;
+  /// The job is over: what it says against machines stands, or falls with it.
+  void settle_blame(Job& job);
   enum class Urgency { Launch, Rest };
   struct Dirty {
     std::string job;
@@ -321,6 +336,11 @@
   bool saves_when_stopped(const JobSpec& spec) const;
   bool takes_work(const Machine& m) const;
   bool open_to(const Job& job, const Machine& m, double now) const;
+  /// How long each waiting job will have waited, and whom the floor holds by that. In the order of the bids.
+  void look_at_floor(const std::vector<const Job*>& order, double now);
+  bool floored(const Job& job) const { return floor_.holds(job.spec.job_class, job.spec.team); }
+  /// Whether machines like that are kept for others than this job.
+  bool kept_out(const Job& job, const std::string& type, int shelf) const;
 
   /// Machines that a task fits on and that are alike to a placement: a level, less some of its machines, or a
   /// single one.
@@ -369,6 +389,7 @@
       cut_until_;                   // zone -> its silent machines are blamed on the network until then
   std::set<std::string> returned_;  // late reports and old lists still speak of them
   std::map<std::string, Resources> use_, stopping_use_;  // of teams; the second: on its way out
+  std::unordered_map<std::string, Resources> class_use_;
   JobIndex job_index_;
   RoomIndex room_;
   std::map<std::string, Team> teams_;
@@ -386,9 +407,9 @@
   std::unordered_set<std::string> changed_;
   std::vector<std::string> notes_, details_;
   double last_job_at_ = 0, last_arrival_ = -1, arrival_gap_ = 0;
-  using Shape =
-      std::tuple<double, double, double, bool, bool, bool, bool, int, std::string, std::vector<std::string>>;
-  static Shape shape(const Job& job);
+  using Shape = std::tuple<double, double, double, bool, bool, bool, bool, int, std::string,
+                           std::vector<std::string>, bool>;
+  Shape shape(const Job& job) const;
   std::map<Shape, int> not_fitting_;  // of this pass: the fewest tasks at once that found no room
   std::uint64_t steps_ = 0;
   /// CPUs and accelerators that tasks have given back in a zone of late, decaying.
@@ -399,6 +420,9 @@
   void note_freed(const std::string& zone, const Resources& need, double now);
   std::map<std::string, Freed> freed_;
   std::map<std::string, std::string> gathering_;  // of this pass: zone -> the job it is kept for
+  Floor floor_;
+  std::set<std::string> floor_types_;  // of machines that those it holds can use
+  std::vector<std::string> floor_told_;
   bool want_plan_ = true, accelerators_wanted_ = false, any_silent_ = false;
   std::optional<Priority> accelerator_users_;
 };
--- a/src/book/cluster_placement.cc
+++ b/src/book/cluster_placement.cc
@@ -92,7 +92,7 @@
          (job.indexed.guaranteed ? c::kGuaranteeBoost : 1);
 }
 
-Cluster::Shape Cluster::shape(const Job& job) {
+Cluster::Shape Cluster::shape(const Job& job) const {
   const JobSpec& s = job.spec;
   return {s.need.cpus,
           s.need.gpus,
@@ -103,7 +103,8 @@
           s.kind == JobKind::Gang,
           static_cast<int>(job.priority),
           s.zone.value_or(""),
-          s.types.value_or(std::vector<std::string>{})};
+          s.types.value_or(std::vector<std::string>{}),
+          floored(job)};
 }
 
 bool Cluster::known_not_to_fit(const Job& job, double now) const {
@@ -196,7 +197,8 @@
                                             const std::string* zone) {
   const JobSpec& spec = job.spec;
   if (spec.one_zone && !job.active.empty()) zone = &job.active.begin()->second.zone;
-  std::vector<Slot> plain, with_gpus, doubtful;
+  std::vector<Slot> shelved, plain, with_gpus, doubtful;
+  const bool held = floored(job);
   // Accelerators never stall behind work that does not need them: it takes no machine with more of them free.
   double most_gpus = 1e18;
   if (spec.need.gpus <= 0 && accelerator_users_ && job.priority <= *accelerator_users_)
@@ -209,6 +211,7 @@
     ++steps_;
     if (!allowed(spec, m) || closed(m.zone) || !spec.need.fits(m.free)) return;
     if (m.size.gpus > 0 && m.free.gpus > most_gpus) return;
+    if (kept_out(job, m.type, m.filed.pool->shelf)) return;
     out.push_back({m.filed.pool, nullptr, &m, {}, 1, spec.need.times_in(m.free)});
   };
   std::map<const RoomIndex::Level*, std::vector<std::size_t>> failed;
@@ -220,10 +223,13 @@
   }
   for (const auto& [key, pool] : room_.pools()) {
     ++steps_;
-    if (closed(pool.zone) || !spec.need.fits(pool.size) || !allowed(spec, pool.type, pool.zone, pool.spot))
+    if (closed(pool.zone) || !spec.need.fits(pool.size) || !allowed(spec, pool.type, pool.zone, pool.spot) ||
+        kept_out(job, pool.type, pool.shelf))
       continue;
     const bool gpus = spec.need.gpus <= 0 && pool.size.gpus > 0;
-    std::vector<Slot>& out = gpus ? with_gpus : plain;
+    // Work that machines are kept for fills these first, so that others find the rest.
+    const bool first = held && pool.shelf > 0 && pool.shelf <= floor_.shelves();
+    std::vector<Slot>& out = first && spec.kind != JobKind::Gang ? shelved : gpus ? with_gpus : plain;
     const double most = pool.size.gpus > 0 ? most_gpus : 1e18;
     level_slots(job, pool, pool.ready, failed, most, out);
     level_slots(job, pool, pool.doubtful, {}, most, doubtful);
@@ -238,6 +244,7 @@
     if (doubtful_too) std::move(doubtful.begin(), doubtful.end(), std::back_inserter(plain));
     return plain;
   }
+  if (!shelved.empty()) return shelved;
   // Work that needs no accelerator takes accelerator machines only when nothing else fits.
   if (!plain.empty()) return plain;
   if (!with_gpus.empty()) return with_gpus;
@@ -386,6 +393,8 @@
   std::map<std::string, int> in_zone;
   for (const auto& [i, a] : job.active) ++in_zone[a.zone];
   const auto attempt = next_number();  // of all that this call places; a task is placed at most once in it
+  // What fails by itself shows it with one task as well as with all.
+  if (job.bad) budget = job.active.empty() ? 1 : 0;
   while (placed < budget && job.queued > 0) {
     if (!within_limit(spec.team, spec.need)) {
       job.why = "waiting: the team is at its limit";
@@ -414,6 +423,52 @@
   return placed;
 }
 
+bool Cluster::kept_out(const Job& job, const std::string& type, int shelf) const {
+  return shelf > 0 && shelf <= floor_.shelves() && floor_types_.count(type) && !floored(job);
+}
+
+void Cluster::look_at_floor(const std::vector<const Job*>& order, double now) {
+  Resources ahead;  // processor and accelerator seconds
+  const Resources all{std::max(1.0, room_.all_cpus()), std::max(1.0, room_.all_gpus()), 0};
+  auto has = [&](const Resources& use) { return std::max(use.cpus / all.cpus, use.gpus / all.gpus); };
+  auto run_s = [](const JobSpec& s) { return s.estimate_s > 0 ? s.estimate_s : c::kFloorNoEstimate; };
+  std::vector<Floor::Waiting> waiting;
+  for (const Job* job : order) {
+    const JobSpec& s = job->spec;
+    // What its own team's limit holds back waits for no other; what fails is not kept from being served.
+    if (within_limit(s.team, s.at_once()) && !job->bad) {
+      double wait = ahead.cpus / all.cpus;
+      if (s.need.gpus > 0) wait = std::max(wait, ahead.gpus / all.gpus);
+      const double waited = now - job->ready_at;
+      auto use = class_use_.find(s.job_class);
+      waiting.push_back({&s.job_class, &s.team, waited, waited + wait + run_s(s),
+                         has(use == class_use_.end() ? Resources{} : use->second), has(team_use(s.team))});
+    }
+    double seconds = job->queued * run_s(s);
+    ahead += {seconds * s.need.cpus, seconds * s.need.gpus, 0};
+  }
+  floor_.look(waiting, now);
+  if (auto held = floor_.held(); held != floor_told_) {
+    floor_told_ = std::move(held);
+    std::string all;
+    for (const auto& name : floor_told_) all += (all.empty() ? "" : ", ") + name;
+    notes_.push_back(all.empty()
+                         ? "no class or team is in arrears any more: no machines are kept"
+                         : "less than half would be served of " + all + ": machines are kept for them");
+  }
+  floor_types_.clear();
+  if (floor_.shelves() == 0) return;
+  for (const Job* job : order) {
+    if (!floored(*job)) continue;
+    const JobSpec& s = job->spec;
+    bool plain = false;  // where it fits without accelerators it needs none
+    auto usable_type = [&](const MachineType& t) { return s.allows_type(t.name) && s.need.fits(t.size); };
+    for (const auto& t : types_) plain |= usable_type(t) && t.size.gpus <= 0;
+    for (const auto& t : types_)
+      if (usable_type(t) && !(plain && t.size.gpus > 0)) floor_types_.insert(t.name);
+  }
+}
+
 void Cluster::plan(double now) {
   want_plan_ = false;
   not_fitting_.clear();
@@ -450,6 +505,9 @@
     return std::tie(a.aim.missed, a.late, a.left, a.job->order) <
            std::tie(b.aim.missed, b.late, b.left, b.job->order);
   });
+  std::vector<const Job*> bids;
+  for (const Bid& bid : order) bids.push_back(bid.job);
+  look_at_floor(bids, now);
   accelerators_wanted_ = false;
   accelerator_users_ = job_index_.accelerator_users();
   for (const Bid& bid : order)
--- a/src/book/cluster_preemption.cc
+++ b/src/book/cluster_preemption.cc
@@ -33,6 +33,7 @@
 bool Cluster::open_to(const Job& job, const Machine& m, double now) const {
   const JobSpec& spec = job.spec;
   return usable(m, now) && (now >= m.room_until || m.room_for == spec.id) && allowed(spec, m) &&
+         !kept_out(job, m.type, m.filed.pool ? m.filed.pool->shelf : 0) &&
          (!spec.one_zone || job.active.empty() || job.active.begin()->second.zone == m.zone);
 }
 
@@ -46,7 +47,7 @@
   std::map<std::string, std::vector<const std::vector<Machine*>*>> lists;
   for (const auto& [key, pool] : room_.pools()) {
     ++steps_;
-    if (!allowed(spec, pool.type, pool.zone, pool.spot)) continue;
+    if (!allowed(spec, pool.type, pool.zone, pool.spot) || kept_out(job, pool.type, pool.shelf)) continue;
     const std::string group = spec.one_zone ? pool.zone : "";
     auto& machines = groups[group];
     std::size_t looks = c::kStopLooks;
--- a/src/book/cluster_store.cc
+++ b/src/book/cluster_store.cc
@@ -322,6 +322,7 @@
   job.phase[static_cast<std::size_t>(index)] = TaskPhase::Active;
   --job.queued;
   use_[job.spec.team] += job.spec.need;
+  class_use_[job.spec.job_class] += job.spec.need;
   if (job.cancelled) stop_task(job, index, 0);
 }
 
--- a/src/book/room_index.cc
+++ b/src/book/room_index.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "cluster.h"
+#include "floor.h"
 
 namespace corkmux {
 namespace {
@@ -45,8 +46,9 @@
   Filed& f = m.filed;
   if (!f.pool) {
     if (!m.up) return;
-    Pool& pool = pools_[{m.type, m.zone, m.spot}];
-    pool.type = m.type, pool.zone = m.zone, pool.spot = m.spot;
+    const int shelf = Floor::shelf(m.name);
+    Pool& pool = pools_[{m.type, m.zone, m.spot, shelf}];
+    pool.type = m.type, pool.zone = m.zone, pool.spot = m.spot, pool.shelf = shelf;
     if (m.size.cpus > 0) pool.size = m.size;
     f.pool = &pool;
     note_tasks(m);
--- a/src/book/room_index.h
+++ b/src/book/room_index.h
@@ -1,7 +1,7 @@
 // Which machines have how much room, kept as reports and assignments come, so that a placement looks at kinds
-// of room instead of at machines. Machines of one type, zone and tenure are a pool; in it all that have
-// exactly the same room are a level. Nothing here decides: the zone draw and the sampled pick read sums of
-// levels and single machines from it. A machine is in the index under its address, which must not change.
+// of room instead of at machines. Machines of one type, zone, tenure and shelf are a pool; in it all that
+// have exactly the same room are a level. Nothing here decides: the zone draw and the sampled pick read sums
+// of levels and single machines from it. A machine is in the index under its address, which must not change.
 #pragma once
 #include <array>
 #include <cstddef>
@@ -59,6 +59,7 @@
   struct Pool {
     std::string type, zone;
     bool spot = false;
+    int shelf = 0;   // see Floor
     Resources size;  // of each machine
     Levels ready, doubtful;
     /// Machines by the lowest priority of what may be stopped there: arrays and services, gangs apart.
@@ -91,17 +92,19 @@
   /// Machines whose state was to hold until now: each has to be updated.
   std::vector<Machine*> due(double now);
 
-  const std::map<std::tuple<std::string, std::string, bool>, Pool>& pools() const { return pools_; }
+  using PoolKey = std::tuple<std::string, std::string, bool, int>;
+  const std::map<PoolKey, Pool>& pools() const { return pools_; }
   /// Machines kept for a job, few.
   const MachineSet& kept_for(const std::string& job) const;
   /// Accelerators on machines that take work: those free, and all.
   double free_gpus() const { return free_.gpus; }
   double all_gpus() const { return size_.gpus; }
+  double all_cpus() const { return size_.cpus; }
 
  private:
   void list(Machine& m, int lowest);
 
-  std::map<std::tuple<std::string, std::string, bool>, Pool> pools_;
+  std::map<PoolKey, Pool> pools_;
   std::map<std::string, MachineSet> kept_;
   std::set<std::pair<double, Machine*>> wakes_;
   Resources free_, size_;
--- /dev/null
+++ b/tests/blame_test.cc
@@ -0,0 +1,60 @@
+// Faulty machines and jobs that fail by themselves, at once: neither is taken for the other.
+#include "blame.h"
+
+#include <gtest/gtest.h>
+
+#include "book_model.h"
+#include "constants.h"
+
+namespace corkmux {
+namespace {
+namespace c = constants;
+
+TEST(Blame, AFailureSpeaksAgainstTheMachineAsFarAsTheJobDoesWellElsewhere) {
+  auto sick = [](std::vector<FailedThere> all) {
+    double sum = 0;
+    for (const auto& f : all) sum += blame_of_machine(f);
+    return sum >= c::kBlameSick;
+  };
+  EXPECT_FALSE(sick({{40, 0, false}})) << "one job, however often";
+  EXPECT_TRUE(sick({{1, 0, false}, {1, 0, false}}));
+  EXPECT_FALSE(sick({{1, 3, false}, {1, 3, false}, {1, 2, false}})) << "jobs that fail everywhere";
+  EXPECT_TRUE(sick({{2, 0, true}})) << "of a job that does well";
+  EXPECT_FALSE(sick({{1, 0, true}})) << "a single task's bad luck";
+  EXPECT_TRUE(fails_by_itself(c::kBadJobMachines));
+  EXPECT_FALSE(fails_by_itself(c::kBadJobMachines - 1));
+  for (int n = 0; n < 40; ++n) EXPECT_LE(pause_of_failing(n), c::kErrorBackoffMax);
+}
+
+class Seeds : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Seeds, BrokenJobsTakeNoHealthyMachine) {
+  Model model(GetParam(), 0);
+  model.play(0.1);
+  EXPECT_LE(model.lost(false), 1) << "of 100 healthy machines, returned as faulty";
+  EXPECT_LT(model.of_broken, 0.25 * model.starts) << "starts wasted on broken jobs";
+  EXPECT_TRUE(model.held_bad.empty());
+}
+
+TEST_P(Seeds, ABatchOfFaultyMachinesMakesNoGoodJobBad) {
+  Model model(GetParam(), 0.2);
+  model.play(0);
+  EXPECT_GE(model.lost(true), 10) << "faulty machines that were found";
+  EXPECT_EQ(model.lost(false), 0);
+  // One that met three faulty machines before any of them was known is held bad until a task ends well.
+  EXPECT_LE(model.held_bad.size(), 0.1 * model.good);
+  EXPECT_TRUE(model.cluster->jobs().empty()) << "jobs that never ended";
+}
+
+TEST_P(Seeds, BothAtOnce) {
+  Model model(GetParam(), 0.1);
+  model.play(0.06);
+  EXPECT_GE(model.lost(true), 4);
+  EXPECT_LE(model.lost(false), 2);
+  EXPECT_LE(model.held_bad.size(), 0.05 * model.good);
+  EXPECT_TRUE(model.cluster->jobs().empty());
+}
+INSTANTIATE_TEST_SUITE_P(Models, Seeds, ::testing::Range(1u, 9u));
+
+}  // namespace
+}  // namespace corkmux
--- /dev/null
+++ b/tests/floor_test.cc
@@ -0,0 +1,127 @@
+// Who is in arrears, what is kept for them, and what that does to whole queues.
+#include "floor.h"
+
+#include <gtest/gtest.h>
+
+#include "book_model.h"
+#include "constants.h"
+
+namespace corkmux {
+namespace {
+namespace c = constants;
+
+const std::string kHot = "hot", kSlow = "slow", kRed = "red", kBlue = "blue";
+
+std::vector<Floor::Waiting> jobs(int n, double ends_s, double waited_s = 0, double has = 0.1) {
+  return std::vector<Floor::Waiting>(static_cast<std::size_t>(n),
+                                     {&kSlow, &kBlue, waited_s, ends_s, has, has});
+}
+
+TEST(Floor, KeepsNothingForAQueueThatClearsOrAClassThatIsServed) {
+  Floor floor;
+  for (double now = 0; now < 300; ++now) floor.look(jobs(40, c::kFloorFrom * 0.9), now);
+  EXPECT_EQ(floor.shelves(), 0);
+  for (int i = 0; i < 90; ++i) floor.served(kSlow, kBlue, 300);
+  for (double now = 300; now < 400; ++now) floor.look(jobs(20, 2 * c::kFloorFull), now);
+  EXPECT_EQ(floor.shelves(), 0) << "four in five are served";
+  EXPECT_FALSE(floor.holds(kSlow, kBlue));
+}
+
+// Found on a day of six times as many urgent jobs: they counted as in arrears themselves, entered what was
+// kept for others, and 0.21 of these were served.
+TEST(Floor, AFloodDoesNotCountAsInArrears) {
+  Floor floor;
+  for (double now = 0; now < 300; ++now) floor.look(jobs(400, 2 * c::kFloorFull, 200, 0.9), now);
+  EXPECT_EQ(floor.shelves(), 0);
+}
+
+TEST(Floor, ANewLeaderKnowsArrearsWithinItsRiseAndForgetsThemSlowly) {
+  Floor floor;
+  double now = 0, known = -1, gone = -1;
+  for (; now < 200 && known < 0; ++now) {
+    floor.look(jobs(40, 2 * c::kFloorFull), now);
+    if (floor.shelves() == c::kFloorShelves) known = now;
+  }
+  EXPECT_GT(known, 0);
+  EXPECT_LE(known, c::kFloorRise + 2);
+  EXPECT_TRUE(floor.holds(kSlow, kRed)) << "its class";
+  EXPECT_TRUE(floor.holds(kHot, kBlue)) << "its team";
+  EXPECT_FALSE(floor.holds(kHot, kRed));
+  double from = now;
+  for (; now < from + 200 && gone < 0; ++now) {
+    floor.look({}, now);
+    if (floor.shelves() == 0) gone = now;
+  }
+  EXPECT_GT(gone - from, c::kFloorFall / 2);
+  EXPECT_LE(gone - from, c::kFloorFall + 2);
+}
+
+TEST(Floor, DoesNotComeAndGoWithEachJob) {
+  Floor floor;
+  int changes = 0, before = 0;
+  for (double now = 0; now < 600; ++now) {
+    // On either side of the edge in turn.
+    floor.look(jobs(20, static_cast<int>(now) % 2 ? 0.5 * c::kFloorFrom : 1.1 * c::kFloorFrom), now);
+    changes += floor.shelves() != std::exchange(before, floor.shelves());
+  }
+  EXPECT_LE(changes, 40);
+}
+
+// A class of guests of which nothing had run for 350 s while more urgent work kept every machine (a hunted
+// day).
+TEST(Floor, WhoIsShutOutGetsOneShelfUntilEnoughIsServed) {
+  Floor floor;
+  double now = 0;
+  for (; now < c::kShutOut; ++now) {
+    floor.look(jobs(6, 200, now, 0), now);
+    EXPECT_EQ(floor.shelves(), 0);
+  }
+  for (; now < c::kShutOut + c::kFloorRise; ++now) floor.look(jobs(6, 200, now, 0), now);
+  EXPECT_EQ(floor.shelves(), 1);
+  for (; now < 300; ++now) floor.look(jobs(6, 200, now, 0.05), now);
+  EXPECT_EQ(floor.shelves(), 1) << "though some of it runs by now";
+  for (int i = 0; i < 12; ++i) floor.served(kSlow, kBlue, now);
+  for (; now < 300 + c::kFloorFall; ++now) floor.look(jobs(6, 200, now, 0.05), now);
+  EXPECT_EQ(floor.shelves(), 0);
+}
+
+TEST(Floor, ShelvesHoldTheirShareOfAnyNames) {
+  for (const char* prefix : {"n-", "worker-", "m"}) {
+    int on = 0;
+    for (int i = 0; i < 20000; ++i) {
+      char name[40];
+      std::snprintf(name, sizeof name, "%s%06d", prefix, i);
+      on += Floor::shelf(name) > 0;
+    }
+    EXPECT_NEAR(on / 20000.0, c::kFloorShelf * c::kFloorShelves, 0.02) << prefix;
+  }
+}
+
+/// A hundred machines, and three times as much urgent work as they hold; beside it some that is not urgent.
+class Flooded : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Flooded, WhatIsNotUrgentIsServedAllTheSameAndNothingStaysKept) {
+  Model model(GetParam(), 0);
+  model.run_s = 40;
+  auto job = [&](const char* job_class, Priority priority, int tasks) {
+    JobSpec s;
+    s.id = "run-" + std::to_string(++model.stamp), s.team = "x", s.job_class = job_class, s.image = "i";
+    s.priority = priority, s.tasks = tasks, s.need = {15, 0, 8}, s.estimate_s = 40;
+    return s;
+  };
+  double now = 0;
+  for (; now < 700; ++now) {
+    if (now > 2 && now < 500) {
+      for (int i = 0; i < 3; ++i) model.put(job("hot", Priority::High, 5), now);
+      if (static_cast<int>(now) % 10 == 0) model.put(job("slow", Priority::Low, 4), now);
+    }
+    model.round(now);
+  }
+  EXPECT_GE(model.ended["slow"], 0.5 * model.came["slow"]);
+  EXPECT_GE(model.ended["hot"], 0.5 * model.came["hot"] * 200 / 300 * 0.8)
+      << "what there is room for, and a fifth";
+}
+INSTANTIATE_TEST_SUITE_P(Models, Flooded, ::testing::Range(1u, 4u));
+
+}  // namespace
+}  // namespace corkmux
