--- a/src/book/floor.cc
+++ b/src/book/floor.cc
@@ -80,7 +80,10 @@
     auto g = groups.find(name);
     return g != groups.end() && g->second.level > 0;
   };
-  return held(classes_, job_class) || held(teams_, team);
+  // A team's floor is not for what floods the fleet, of whichever team: it would fill what others were kept.
+  auto own = classes_.find(job_class);
+  const bool floods = own != classes_.end() && own->second.has > c::kFloorHas;
+  return held(classes_, job_class) || (held(teams_, team) && !floods);
 }
 
 int Floor::shelf(const std::string& machine) {
--- a/tests/floor_test.cc
+++ b/tests/floor_test.cc
@@ -85,6 +85,16 @@
   EXPECT_EQ(floor.shelves(), 0);
 }
 
+// Found on the same day: a team in arrears let its part of the flood in.
+TEST(Floor, ATeamsFloorIsNotForWhatFloodsTheFleet) {
+  Floor floor;
+  auto all = jobs(40, 2 * c::kFloorFull, 0, 0.05);
+  for (int i = 0; i < 400; ++i) all.push_back({&kHot, &kBlue, 200, 2 * c::kFloorFull, 0.9, 0.05});
+  for (double now = 0; now < 100; ++now) floor.look(all, now);
+  EXPECT_TRUE(floor.holds(kSlow, kBlue));
+  EXPECT_FALSE(floor.holds(kHot, kBlue));
+}
+
 TEST(Floor, ShelvesHoldTheirShareOfAnyNames) {
   for (const char* prefix : {"n-", "worker-", "m"}) {
     int on = 0;
