--- a/src/world/checker.cc
+++ b/src/world/checker.cc
@@ -124,6 +124,7 @@
   double now = now_();
   told(job, id, status, phase, asked_at);
   if (job.done_told >= 0 || job.cancel_told >= 0) open_.erase(id);
+  if (job.accepted) ++polls_, polls_answered_ += status == 200;
   if (status == 200) {
     any_poll_answered_ = now, job.silent_since = -1;
   } else if (job.accepted) {
--- a/src/world/checker.h
+++ b/src/world/checker.h
@@ -57,6 +57,9 @@
   const std::map<std::string, double>& lost_seconds() const { return lost_; }
   double longest_pause() const { return longest_pause_; }
   int starts() const { return starts_; }
+  /// Questions about jobs that were accepted, and those answered 200 in time.
+  int polls() const { return polls_; }
+  int polls_answered() const { return polls_answered_; }
   /// For finding work that waits: accepted, not told to be over, and not all of it on machines.
   struct Open {
     const Work* work;
@@ -91,7 +94,7 @@
   std::vector<std::string> broken_;
   std::map<std::string, double> lost_;
   std::set<std::string> open_;
-  int starts_ = 0;
+  int starts_ = 0, polls_ = 0, polls_answered_ = 0;
   double last_start_ = 0, waits_since_ = -1, longest_pause_ = 0, any_poll_answered_ = 0;
 };
 
--- a/src/world/users.h
+++ b/src/world/users.h
@@ -43,10 +43,13 @@
   /// Submits it now; `cancel_after_s` from then: negative: never.
   void submit(Work work, double cancel_after_s);
   void ask_about(const std::string& job);
+  /// Polls come so many times as often from now on.
+  void ask_more(double factor);
 
  private:
   void try_submit(const std::string& id, double until);
   void poll(const std::string& id);
+  void poll_after(double s, const std::string& id);
   void cancel(const std::string& id);
   void after(double s, std::function<void()> fn);
   Loop& loop_;
@@ -54,6 +57,8 @@
   Checker& checker_;
   Yard& yard_;
   std::mt19937_64 rng_;
+  double poll_factor_ = 1;
+  std::map<std::string, std::uint64_t> next_poll_;  // timers of jobs that are polled
 };
 
 }  // namespace corkmux::world
--- a/src/world/world.h
+++ b/src/world/world.h
@@ -80,7 +80,8 @@
   };
   Settings settings_of(const Process& process) const;
   void start(Process& process);
-  void crash(Process& process);
+  void crash(Process& process, double back_s);  // 0: as the plan says
+  void end(Process& process, bool silent, double back_s);
   void boot(const MachineFacts& facts);
   void lose_machine(const std::string& name, const std::string& why);
   std::string machine_ip(const std::string& name) const;
