--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -24,14 +24,16 @@
 inline constexpr double kIdleConnection = 75;  // s; users poll each 5 s, workers report each few seconds
 
 // --- state service ---
-inline constexpr double kGrantLife = 3.0;         // s; how long a dead leader blocks its successor
-inline constexpr double kGrantRenew = 0.75;       // s; three tries within one life
-inline constexpr double kElectionLook = 0.25;     // s between looks while nobody leads and we could not
-inline constexpr double kElectionRetry = 0.3;     // s after a try that the state service did not take
-inline constexpr double kStateTimeout = 2.0;      // s; answers take 10 ms, now and then some 100 ms
-inline constexpr double kReadTimeout = 1.5;       // s; below the 2 s a user waits for a query
-inline constexpr double kWatchWait = 20.0;        // s; long polls are cheap, dead ones must be noticed
-inline constexpr double kWatchSlack = 5.0;        // s beyond the wait before a watch counts as lost
+inline constexpr double kGrantLife = 3.0;      // s; how long a dead leader blocks its successor
+inline constexpr double kGrantRenew = 0.75;    // s; three tries within one life
+inline constexpr double kElectionLook = 0.25;  // s between looks while nobody leads and we could not
+inline constexpr double kElectionRetry = 0.3;  // s after a try that the state service did not take
+inline constexpr double kStateTimeout = 2.0;   // s; answers take 10 ms, now and then some 100 ms
+inline constexpr double kReadTimeout = 1.5;    // s; below the 2 s a user waits for a query
+inline constexpr double kWatchWait = 20.0;     // s; long polls are cheap, dead ones must be noticed
+inline constexpr double kWatchSlack = 5.0;     // s beyond the wait before a watch counts as lost
+inline constexpr double kJobsWait =
+    1.0;  // s a watch of the jobs waits; how old the leader's knowledge of cancels may be without any change
 inline constexpr int kStateConnections = 6;       // sockets; each request takes some milliseconds
 inline constexpr double kLeaderWriteShare = 0.7;  // of write_rps; the rest is for submissions and cancels
 inline constexpr double kLeaderTick = 0.25;  // s between the leader's looks at leases, silence and displays
@@ -201,9 +203,17 @@
 // --- peers ---
 inline constexpr double kPeerTick = 1.0;          // s between summaries
 inline constexpr double kPeerTimeout = 1.0;       // s
-inline constexpr std::size_t kToldCancels = 500;  // accepted cancels repeated to peers; about 6 KB
-inline constexpr double kRelayTimeout = 2.5;      // s; the worker waits 4 s
-inline constexpr double kPeerLost = 3.0;          // s without an answer: reports are not relayed there
+inline constexpr std::size_t kToldCancels = 500;  // in one list to a peer of a former version; about 6 KB
+// Cancels of the last cancel_s. Each took two changes of the state service, so 20 changes a second and 57 s
+// make some 600, 180 and 52 s some 4,700; as many again may have been asked about, whenever they were
+// cancelled.
+inline constexpr double kCancelMemory = 0.02;  // of our memory for the own ones, and as much for the peers'
+inline constexpr double kCancelBytes = 150;    // of memory for one of them
+inline constexpr double kSettledShare =
+    0.125;  // of cancel_s between records of how far dependents of cancelled jobs are ended
+inline constexpr double kSettledRead = 1.0;   // s between looks at that record, while no peer has said it
+inline constexpr double kRelayTimeout = 2.5;  // s; the worker waits 4 s
+inline constexpr double kPeerLost = 3.0;      // s without an answer: reports are not relayed there
 // --- mail through the state service ---
 inline constexpr double kMailShare =
     0.1;  // of write_rps that one box may take; two or three are in use at a time
@@ -216,6 +226,9 @@
 
 inline constexpr double kStateProbe = 0.7;  // s without an answer before a read asks whether it is there
 inline constexpr double kStateLost = 2.5;   // s without the state service while a peer has it: not ready
+inline constexpr double kStateSilent =
+    12.0;  // s without it and without any peer: not ready. Longer than most outages, during which all would
+           // go; far below the 75 s after which a job without an answer counts as forgotten
 // --- Kubernetes-style clients ---
 inline constexpr int kKubeConnections = 600;       // sockets for them, of those that users have otherwise
 inline constexpr int kKubeShare = 4;               // at most one in so many of these
--- a/src/base/store_keys.h
+++ b/src/base/store_keys.h
@@ -5,9 +5,10 @@
 namespace corkmux {
 
 inline const std::string kLeaderKey = "leader", kTermKey = "term";
-inline const std::string kJobs = "a/";          // unfinished jobs, by id
-inline const std::string kShards = "s/";        // their tasks in the first form: s/<job>/<n>
-inline const std::string kRecords = "t/";       // their tasks in the second form: t/<job>/<first task>
+inline const std::string kSettledKey = "settled";  // until when all that needs a cancelled job has its end
+inline const std::string kJobs = "a/";             // unfinished jobs, by id
+inline const std::string kShards = "s/";           // their tasks in the first form: s/<job>/<n>
+inline const std::string kRecords = "t/";          // their tasks in the second form: t/<job>/<first task>
 inline const std::string kForms = "v/";         // what form each controller reads and writes: v/<controller>
 inline const std::string kFinals = "f/";        // how finished jobs ended, kept for good
 inline const std::string kMailPrefix = "m/";    // mail between controllers: m/<to>/<from>/<slot>
--- a/src/book/cluster.cc
+++ b/src/book/cluster.cc
@@ -85,7 +85,7 @@
       if (a.stage == Stage::Assigned) unsent.push_back(index);
     for (int index : unsent) unassign(job, index, now);
     for (auto& [index, a] : job.active) stop_task(job, index, 0);
-    ending_.insert(spec.id);
+    ends(spec.id);
     orphan_dependents(spec.id);
   }
   job_index_.update(job);
@@ -250,7 +250,7 @@
   if (job.spec.kind == JobKind::Gang)
     for (int i = 0; i < job.spec.tasks; ++i) finish(i);
   job.why.clear();
-  if (job.over() && ending_.insert(job.spec.id).second) floor_.served(job.spec.job_class, job.spec.team, now);
+  if (job.over() && ends(job.spec.id)) floor_.served(job.spec.job_class, job.spec.team, now);
 }
 
 void Cluster::exited(Job& job, int index, const TaskReport& t, Machine& m, double now) {
--- a/src/book/cluster.h
+++ b/src/book/cluster.h
@@ -169,6 +169,10 @@
   void outcome(const std::string& id, Outcome how, double ended_at);
   /// Awaited jobs of which nothing is known, to be looked up in the store.
   const std::set<std::string>& unknown() const { return unknown_; }
+  /// Whether any job awaits others.
+  bool awaiting() const { return !dependents_.empty(); }
+  /// Jobs that need a cancelled one and whose end is not stored yet.
+  std::vector<std::string> orphans() const;
 
   // --- workers ---
   enum class Channel { Report, Orders };
@@ -397,7 +401,10 @@
   bool second_form_ = false;
   std::size_t record_room_;  // bytes
   std::vector<std::string> replaced_;
-  std::set<std::string> ending_;  // jobs whose end may be there to store
+  /// Its end may be there to store, after those of all that came before; whether that is news.
+  bool ends(const std::string& job) { return ending_.try_emplace(job, ++endings_).second; }
+  std::map<std::string, std::uint64_t> ending_;  // such jobs, by when they came
+  std::uint64_t endings_ = 0;
   std::string loading_job_;
   std::map<int, std::pair<nlohmann::json, std::uint64_t>> loading_;
   std::unordered_map<std::string, std::vector<std::string>> dependents_;  // awaited -> unfinished jobs
--- a/src/book/cluster_awaits.cc
+++ b/src/book/cluster_awaits.cc
@@ -44,7 +44,7 @@
   }
   job.why = waiting_for(job);
   if (job.orphaned) {
-    ending_.insert(id);
+    ends(id);
     orphan_dependents(id);
   }
   inherit(job);
@@ -120,7 +120,7 @@
       if (!job->cancelled) {
         job->orphaned = true;
         job->why = "a job that it needs was cancelled";
-        ending_.insert(needs_it);
+        ends(needs_it);
         changed_.insert(needs_it);
         job_index_.update(*job);
       }
@@ -129,4 +129,11 @@
   }
 }
 
+std::vector<std::string> Cluster::orphans() const {
+  std::vector<std::string> out;
+  for (const auto& [id, order] : ending_)
+    if (auto job = jobs_.find(id); job != jobs_.end() && job->second.orphaned) out.push_back(id);
+  return out;
+}
+
 }  // namespace corkmux
--- a/src/book/cluster_store.cc
+++ b/src/book/cluster_store.cc
@@ -277,16 +277,21 @@
 }
 
 std::vector<std::string> Cluster::finished_jobs() const {
-  std::vector<std::string> out;
-  for (const auto& id : ending_) {
+  // In the order in which they came. Guards against an end that is last again and again while changes are
+  // few.
+  std::vector<std::pair<std::uint64_t, std::string>> found;
+  for (const auto& [id, order] : ending_) {
     auto it = jobs_.find(id);
     if (it == jobs_.end()) continue;
     const Job& job = it->second;
     if (job.finalizing || !job.active.empty() || !job.over()) continue;
     bool in_flight = false;
     for (const auto& [n, s] : job.shards) in_flight |= s.in_flight;
-    if (!in_flight) out.push_back(id);
+    if (!in_flight) found.emplace_back(order, id);
   }
+  std::sort(found.begin(), found.end());
+  std::vector<std::string> out;
+  for (auto& [order, id] : found) out.push_back(std::move(id));
   return out;
 }
 
@@ -408,7 +413,7 @@
   flush_loading();
   for (auto& [id, job] : jobs_) {
     job_index_.update(job);
-    if (job.over()) ending_.insert(id);
+    if (job.over()) ends(id);
     // A task that was ever assigned is proof that all the job awaits was done; the moment is not known.
     if (job.shards.empty()) continue;
     for (const auto& awaited : std::unordered_set<std::string>(job.unmet)) met(job, awaited, job.accepted_at);
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -33,7 +33,8 @@
               },
               [this](double asked_at, double youngest) {
                 leader_.tell([=](Leader& l) { l.peers_heard(asked_at, youngest); });
-              }}),
+              },
+              [this] { return leader_.settled_at(); }}),
       keeper_(loop, settings, state_),
       mail_(loop, settings, state_,
             [this](std::string body, Mail::Reply reply) {
--- a/src/controller/gateway.cc
+++ b/src/controller/gateway.cc
@@ -11,6 +11,9 @@
 namespace corkmux {
 namespace c = constants;
 using codec::Json;
+namespace {
+const char* const kUnsettled = "it awaits other jobs, and whether these were cancelled is not known now";
+}
 
 Gateway::Gateway(Loop& loop, const Settings& settings, StateClient& state, Catalog& catalog, Leader& leader,
                  Peers& peers, Keeper& keeper, Mail& mail)
@@ -27,7 +30,7 @@
                 read(job, [done = std::move(done)](std::optional<Found> found) {
                   if (!found) return done(std::nullopt);
                   bool unfinished = found->phase == "queued";
-                  done(Proofs::Standing{unfinished, found->version, found->phase});
+                  done(Proofs::Standing{unfinished, found->version, found->phase, found->awaits()});
                 });
               }),
       probe_(loop),
@@ -71,8 +74,11 @@
     case codec::Route::Ready: {
       // In an outage all controllers lose the state service together, and users are told at once when to come
       // back. Only one that alone has lost it steps out of the way.
-      double mine = state_.last_contact();
-      bool alone = steady_now() - mine > c::kStateLost && peers_.peers_state_at() > mine + c::kStateLost;
+      double mine = state_.last_contact(), now = steady_now();
+      bool alone = now - mine > c::kStateLost && peers_.peers_state_at() > mine + c::kStateLost;
+      // Nor can one that has lost the others as well tell the two apart. Guards against users that keep to
+      // it: for them their jobs would be forgotten.
+      alone |= now - mine > c::kStateSilent && peers_.silent_for() > c::kStateSilent;
       bool ready = !catalog_.types().empty() && !alone;
       if (!ready) return unavailable(id, "not ready");
       return server_.respond(id, {200, "", 0, false});
@@ -128,9 +134,10 @@
 
 /// A job that was accepted before is answered as such, whatever is wrong with its submission.
 void Gateway::known_or(Id id, const std::string& job, int status, const std::string& why) {
-  lookup(id, job, [this, id, job, status, why](Found found) {
+  lookup(id, job, [this, id, job, status, why, known_at = peers_.settled_at()](Found found) {
     if (found.phase.empty() && status == 503) return unavailable(id, why.c_str());
     if (found.phase.empty()) return answer(id, status, codec::error_to_wire(why));
+    if (found.awaits() && !settled(known_at)) return unavailable(id, kUnsettled);
     answer(id, 200, codec::view_to_wire(display(job, found.phase), false));
   });
 }
@@ -143,7 +150,7 @@
 void Gateway::note_stored(const JobSpec& job, const StateReply& reply) {
   note_accepted(job.id);
   // All changes of a transaction share one revision, which is the record's stamp.
-  proofs_.learn(job.id, codec::parse_revision(reply.body));
+  proofs_.learn(job.id, codec::parse_revision(reply.body), !job.awaits.empty());
 }
 
 void Gateway::check_awaited(Id id, std::shared_ptr<JobSpec> job) {
@@ -323,8 +330,9 @@
   if (!codec::valid_job_id(job)) return answer(id, 404, codec::error_to_wire("no such job"));
   if (auto f = finals_.find(job); f != finals_.end())
     return answer(id, 200, codec::view_to_wire(display(job, f->second.first), true));
-  proofs_.ask(job, [this, id, job](std::optional<Proofs::Standing> standing) {
+  proofs_.ask(job, [this, id, job, known_at = peers_.settled_at()](std::optional<Proofs::Standing> standing) {
     if (!standing) return unavailable(id, "the state service cannot be read now");
+    if (standing->unfinished && standing->awaits && !settled(known_at)) return unavailable(id, kUnsettled);
     if (!standing->unfinished && standing->phase.empty())
       return answer(id, 404, codec::error_to_wire("no such job"));
     answer(id, 200,
@@ -332,6 +340,32 @@
   });
 }
 
+/// Guards against calling a job queued that can never run, since one that it needs was cancelled longer than
+/// cancel_s ago ('orphaned'): its end is the leader's to store, and there may have been none, or no state
+/// service, since then. What counts is what was known before the job was looked at. A leader of a former
+/// version says nothing, and writes no record: then nothing is held back.
+bool Gateway::settled(double known_at) {
+  double now = steady_now();
+  if (now - known_at < settings_.cancel_s - c::kCancelReserve) return true;
+  if (!reading_settled_ && now - settled_read_at_ > c::kSettledRead) {
+    reading_settled_ = true;
+    settled_read_at_ = now;
+    state_.get(kSettledKey, [this](StateReply reply) {
+      reading_settled_ = false;
+      auto kv = reply.ok() ? codec::parse_value(reply.body) : std::nullopt;
+      if (kv) peers_.learn_settled(steady_now() - std::max(0.0, wall_now() - kv->value.value("t", 0.0)));
+      settled_record_ = kv ? Known::Yes : reply.status == StateStatus::Missing ? Known::No : settled_record_;
+    });
+  }
+  return settled_record_ == Known::No && peers_.settled_at() < 0;
+}
+
+bool Gateway::Found::awaits() const {
+  if (phase != "queued" || !record.is_object()) return false;
+  auto job = record.find("j");
+  return job == record.end() || !job->is_object() || job->contains("awaits");
+}
+
 void Gateway::cancel(Id id, const std::string& job, int tries, bool beside) {
   if (!codec::valid_job_id(job)) return answer(id, 404, codec::error_to_wire("no such job"));
   lookup(id, job, [this, id, job, tries, beside](Found found) {
@@ -348,6 +382,7 @@
                {std::move(mark), {kFinals + job, std::move(end), 0}},
                [this, id, job, tries, beside](StateReply reply) {
                  if (reply.ok()) {
+                   spdlog::debug("job {} is cancelled: its user is told", job);
                    note_cancelled(job);
                    return answer(id, 200, codec::view_to_wire({job, "cancelled", 0, 0, ""}, false));
                  }
--- a/src/controller/gateway.h
+++ b/src/controller/gateway.h
@@ -69,12 +69,15 @@
     std::string phase;          // empty: never accepted
     std::uint64_t version = 0;  // of the record of an unfinished job
     codec::Json record;
+    bool awaits() const;  // others, or may: a long record's pieces are not read for it
   };
   /// Reads a job's record, then its end. No value: the state service could not say.
   void read(const std::string& job, std::function<void(std::optional<Found>)> then);
   /// The same for a caller, who gets 503 if it cannot be read.
   void lookup(Id id, const std::string& job, std::function<void(Found)> then);
   void query(Id id, const std::string& job);
+  /// Whether a job that awaits others may be called unfinished, by what was known when it was asked about.
+  bool settled(double known_at);
   void cancel(Id id, const std::string& job, int tries, bool beside = false);
   void report(Id id, const std::string& body);
   void remember_final(const std::string& job, const std::string& phase, int tasks);
@@ -88,7 +91,9 @@
   Mail& mail_;
   Proofs proofs_;
   Timer probe_;
-  bool probing_ = false, closing_ = false;
+  bool probing_ = false, closing_ = false, reading_settled_ = false;
+  double settled_read_at_ = -1e9;
+  enum class Known { Unknown, No, Yes } settled_record_ = Known::Unknown;  // whether there is one
   std::string leader_label_;
   std::unordered_map<std::string, std::pair<std::string, int>> finals_;
   std::deque<std::string> final_order_;
--- a/src/controller/peers.cc
+++ b/src/controller/peers.cc
@@ -1,18 +1,49 @@
 #include "peers.h"
 
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
 #include <random>
+#include <type_traits>
 
 #include "constants.h"
+#include "planted.h"
 
 namespace corkmux {
 namespace c = constants;
 using codec::Json;
+namespace {
+
+/// What a peer says, where it is what it should be. Guards against a message that ends this process.
+template <typename T>
+T field(const Json& body, const char* name, T otherwise) {
+  auto it = body.find(name);
+  if (it == body.end()) return otherwise;
+  if constexpr (std::is_same_v<T, bool>)
+    return it->is_boolean() ? it->template get<T>() : otherwise;
+  else if constexpr (std::is_same_v<T, std::string>)
+    return it->is_string() ? it->template get<T>() : otherwise;
+  else if constexpr (std::is_integral_v<T>)
+    return it->is_number_unsigned() ? it->template get<T>() : otherwise;
+  else
+    return it->is_number() && std::isfinite(it->template get<T>()) ? it->template get<T>() : otherwise;
+}
+
+bool is_view(const Json& j) {
+  return j.is_array() && j.size() == 5 && j[0].is_string() && j[1].is_string() && j[2].is_number_integer() &&
+         j[3].is_number_integer() && j[4].is_string();
+}
+
+}  // namespace
 
 Peers::Peers(Loop& loop, const Settings& settings, Hooks hooks)
     : Actor(loop),
       label_(settings.label),
       cancel_s_(settings.cancel_s),
       boot_((fresh_seed() << 20) ^ static_cast<std::uint64_t>(wall_now() * 1000)),
+      most_cancels_(std::max(c::kToldCancels, static_cast<std::size_t>(settings.mem_mb * 1024 * 1024 *
+                                                                       c::kCancelMemory / c::kCancelBytes))),
       hooks_(std::move(hooks)),
       server_(loop, settings.peer_listen, 64,
               [this](http::Server::ConnectionId id, http::Request r) { serve(id, std::move(r)); }),
@@ -23,14 +54,29 @@
 
 void Peers::start() {
   timer_.every(c::kPeerTick, [this] {
-    // A leader of ours may have begun after it was told.
-    std::vector<std::string> own;
-    for (const auto& [at, job] : cancels_) own.push_back(job);
-    if (!own.empty()) hooks_.cancelled(own);
+    prune_cancels();
+    tell_own_leader();
     for (auto& [label, peer] : peers_) sync(peer);
   });
 }
 
+/// Again and again, for as long as a cancel may count: a leader of ours may have begun, or may have heard of
+/// the job, after it was told.
+void Peers::tell_own_leader() {
+  if (leader_ != label_) return;
+  std::vector<std::string> all;
+  all.reserve(cancels_.size() + heard_cancels_.size());
+  for (const auto& cancel : cancels_) all.push_back(cancel.job);
+  for (const auto& [job, at] : heard_cancels_) all.push_back(job);
+  if (!all.empty()) hooks_.cancelled(all);
+}
+
+void Peers::prune_cancels() {
+  double oldest = steady_now() - cancel_s_;
+  for (; !cancels_.empty() && cancels_.front().at < oldest; ++first_cancel_) cancels_.pop_front();
+  std::erase_if(heard_cancels_, [&](const auto& e) { return e.second < oldest; });
+}
+
 void Peers::leader_changed(const std::string& label, std::uint64_t term) {
   leader_ = label;
   if (term) term_ = std::max(term_, term);
@@ -48,42 +94,81 @@
 void Peers::accepted_cancel(const std::string& job) {
   cancels_.push_back({steady_now(), job});
   hooks_.cancelled({job});
-  if (cancels_.size() > c::kToldCancels) {
-    cancels_.pop_front();
-    cancels_overflowed_ = true;
-  }
+  if (cancels_.size() <= most_cancels_) return;
+  lost_cancel_ = first_cancel_++;
+  lost_cancel_at_ = cancels_.front().at;
+  cancels_.pop_front();
 }
 
-Json Peers::greeting() {
-  while (!cancels_.empty() && steady_now() - cancels_.front().first > cancel_s_) {
-    cancels_.pop_front();
-    cancels_overflowed_ = false;
-  }
-  Json cancels = Json::array();
-  for (const auto& [at, job] : cancels_) cancels.push_back(job);
-  Json out = {{"label", label_},   {"boot", boot_}, {"state_age", hooks_.state_age()},
-              {"leader", leader_}, {"term", term_}, {"cancels", std::move(cancels)}};
-  if (cancels_overflowed_) out["overflow"] = true;
+double Peers::settled_at() const { return std::max(settled_heard_, hooks_.settled_at()); }
+
+Json Peers::greeting() const {
+  Json out = {{"label", label_},
+              {"boot", boot_},
+              {"state_age", hooks_.state_age()},
+              {"leader", leader_},
+              {"term", term_}};
+  // As an age, since clocks differ: whoever asked counts it from when it asked.
+  if (settled_at() > 0) out["settled_age"] = steady_now() - settled_at();
   return out;
 }
 
+void Peers::tell_cancels(const Json& asked, Json& answer) {
+  prune_cancels();
+  std::uint64_t last = first_cancel_ + cancels_.size() - 1;
+  // Numbers mean something only to one who has heard them from this life of ours.
+  bool numbered = asked.contains("told"), same = field<std::uint64_t>(asked, "told_by", 0) == boot_;
+  std::uint64_t after = numbered && same ? field<std::uint64_t>(asked, "told", 0) : 0;
+  if (!numbered && cancels_.size() > c::kToldCancels) after = last - c::kToldCancels;
+  bool lost = lost_cancel_ > after && steady_now() - lost_cancel_at_ <= cancel_s_;
+  if (lost || (!numbered && after >= first_cancel_)) answer["overflow"] = true;
+  Json cancels = Json::array();
+  for (std::uint64_t n = std::max(first_cancel_, after + 1); n <= last; ++n)
+    cancels.push_back(cancels_[static_cast<std::size_t>(n - first_cancel_)].job);
+  answer["cancels"] = std::move(cancels);
+  answer["told"] = last;
+}
+
 /// While the state service is away, a leader that every peer answers misses no cancel: only controllers
 /// accept them, and each tells those of the last while. A peer that has begun a new life since we last had
 /// the state service may have forgotten some, so it does not count; nor does one that has taken over, since
-/// its term would end ours.
+/// its term would end ours; nor one with whom a name was lost for want of room, there or here. One that was
+/// not heard for so long that names have left its list does no harm: nobody was answered meanwhile, so that
+/// all that ran then is gone.
 void Peers::answered(Peer& peer, const Json& body, double asked_at) {
-  auto boot = body.value("boot", std::uint64_t{0});
+  auto boot = field<std::uint64_t>(body, "boot", 0);
   if (boot != peer.boot) {
     peer.boot = boot;
     peer.boot_seen_at = steady_now();
+    peer.told = 0;
   }
   std::vector<std::string> cancels;
+  bool odd = false, lost = field<bool>(body, "overflow", false);
   if (auto list = body.find("cancels"); list != body.end() && list->is_array())
-    for (const auto& id : *list)
-      if (id.is_string()) cancels.push_back(id.get<std::string>());
+    for (const auto& id : *list) {
+      if (!id.is_string() || !codec::valid_job_id(id.get_ref<const std::string&>())) {
+        odd = true;
+        continue;
+      }
+      auto job = id.get<std::string>();
+      if (heard_cancels_.size() < most_cancels_)
+        heard_cancels_.emplace(job, steady_now());
+      else if (!heard_cancels_.count(job))
+        lost = true;
+      cancels.push_back(std::move(job));
+    }
+  if (odd && !std::exchange(peer.odd_told, true))
+    spdlog::warn("{} names jobs that none can be called: passed over",
+                 field<std::string>(body, "label", "?"));
+  if (planted("cancels of peers are not heard")) cancels.clear(), heard_cancels_.clear();
   if (!cancels.empty()) hooks_.cancelled(cancels);
-  peer.answered_at =
-      body.value("overflow", false) || body.value("term", std::uint64_t{0}) > term_ ? -1e9 : asked_at;
+  peer.told = std::max(peer.told, field<std::uint64_t>(body, "told", 0));
+  if (double age = field<double>(body, "settled_age", -1); age >= 0) learn_settled(asked_at - age);
+  // A name that was lost is not told again: for as long as it may count, nothing is known of the peer's
+  // cancels.
+  if (odd || lost) peer.missed_at = steady_now();
+  bool misses = steady_now() - peer.missed_at <= cancel_s_;
+  peer.answered_at = misses || field<std::uint64_t>(body, "term", 0) > term_ ? -1e9 : asked_at;
   double oldest = asked_at, newest_boot = -1e9;
   for (const auto& [label, p] : peers_) {
     oldest = std::min(oldest, p.answered_at);
@@ -93,11 +178,13 @@
 }
 
 void Peers::heard(const Json& body) {
-  if (!body.is_object()) return;
-  auto it = peers_.find(body.value("label", ""));
-  if (it != peers_.end())
-    it->second.state_at = std::max(it->second.state_at, steady_now() - body.value("state_age", 1e9));
-  auto term = body.value("term", std::uint64_t{0});
+  auto it = peers_.find(field<std::string>(body, "label", ""));
+  if (it != peers_.end()) {
+    any_heard_at_ = steady_now();
+    it->second.state_at =
+        std::max(it->second.state_at, steady_now() - std::max(0.0, field<double>(body, "state_age", 1e9)));
+  }
+  auto term = field<std::uint64_t>(body, "term", 0);
   if (term > term_) hooks_.newer_term(term);
 }
 
@@ -107,6 +194,8 @@
   return latest;
 }
 
+double Peers::silent_for() const { return peers_.empty() ? 0 : steady_now() - any_heard_at_; }
+
 bool Peers::reachable(const std::string& label) const {
   auto it = peers_.find(label);
   return it == peers_.end() || steady_now() - it->second.heard_at < c::kPeerLost;
@@ -116,6 +205,8 @@
   if (peer.syncing) return;
   peer.syncing = true;
   Json body = greeting();
+  body["told"] = peer.told;
+  body["told_by"] = peer.boot;
   Json jobs = Json::array();
   int room = 200;
   for (auto it = peer.outbox.begin(); it != peer.outbox.end() && room-- > 0; it = peer.outbox.erase(it)) {
@@ -145,14 +236,16 @@
 void Peers::serve(http::Server::ConnectionId id, http::Request request) {
   if (request.method == "POST" && request.target == "/peer/sync") {
     auto body = codec::unpack(request.body);
-    if (!body) return server_.respond(id, {400, "", 0, false});
+    if (!body || !body->is_object()) return server_.respond(id, {400, "", 0, false});
     heard(*body);
     if (auto jobs = body->find("jobs"); jobs != body->end() && jobs->is_array())
       for (const auto& j : *jobs)
-        if (j.is_array() && j.size() == 5)
+        if (is_view(j))
           hooks_.view({j[0].get<std::string>(), j[1].get<std::string>(), j[2].get<int>(), j[3].get<int>(),
                        j[4].get<std::string>()});
-    return server_.respond(id, {200, codec::pack(greeting()), 0, false});
+    Json answer = greeting();
+    tell_cancels(*body, answer);
+    return server_.respond(id, {200, codec::pack(answer), 0, false});
   }
   if (request.method == "POST" && request.target == "/peer/report")
     return hooks_.report(std::move(request.body), [this, id](int status, std::string body) {
--- a/src/leader/job_feed.cc
+++ b/src/leader/job_feed.cc
@@ -35,7 +35,10 @@
   return true;
 }
 
-void JobFeed::load(std::function<void()> done) { load_from("", std::move(done)); }
+void JobFeed::load(std::function<void()> done) {
+  seen_at_ = steady_now();
+  load_from("", std::move(done));
+}
 
 void JobFeed::load_from(const std::string& after, std::function<void()> done) {
   state_.read_all(
@@ -104,9 +107,12 @@
 }
 
 void JobFeed::follow() {
-  state_.watch(kJobs, revision_, c::kWatchWait, term_.guard([this](StateReply reply) {
+  // Guards against cancels that nobody told us of while an answer is lost: what was not seen by a watch that
+  // was sent later counts as unknown (Leader::knows_cancels_at), so a watch does not wait for long.
+  state_.watch(kJobs, revision_, c::kJobsWait, term_.guard([this](StateReply reply) {
     if (reply.ok()) {
       lost_watches_ = 0;
+      seen_at_ = std::max(seen_at_, reply.sent_at);
       auto events = codec::parse_events(reply.body);
       // Removals are our own, of jobs that are over.
       for (auto& e : events.events)
@@ -128,14 +134,16 @@
 /// no longer in the store is looked into.
 void JobFeed::read_again() {
   lost_watches_ = 0;
+  double since = steady_now();
   auto seen = std::make_shared<std::unordered_set<std::string>>();
   state_.read_all(kJobs, "", term_.guard([this, seen](codec::KeyValue& kv) {
     std::string id = kv.key.substr(kJobs.size());
     if (id.find('/') == std::string::npos) seen->insert(id);
     record(kv.key, std::move(kv.value), kv.version);
   }),
-                  term_.guard([this, seen](const ReadEnd& end) {
+                  term_.guard([this, seen, since](const ReadEnd& end) {
                     if (!end.ok()) return timer_.once(c::kRetryPause, [this] { read_again(); });
+                    seen_at_ = std::max(seen_at_, since);
                     std::vector<std::string> missing;
                     for (const auto& [id, job] : book_.jobs())
                       if (job.version <= end.revision && !seen->count(id)) missing.push_back(id);
--- a/src/leader/job_feed.h
+++ b/src/leader/job_feed.h
@@ -26,6 +26,10 @@
   /// A job's record that was read for another reason.
   void record(const std::string& key, codec::Json value, std::uint64_t stamp);
   void look_up_awaited();
+  /// s of the steady clock up to which every change of a job's record is in the book, but for long records.
+  double seen_at() const { return seen_at_; }
+  /// Whether pieces of long records are still to be read.
+  bool joining() const { return joining_ || !to_join_.empty(); }
   /// What else is stored of a job that is over.
   std::vector<std::string> take_side_keys(const std::string& job);
 
@@ -41,6 +45,7 @@
   TermHooks hooks_;
   std::function<void(const std::string&)> vanished_;
   std::uint64_t revision_ = 0;
+  double seen_at_ = -1e9;
   int lost_watches_ = 0;                                                  // in a row
   std::map<std::string, std::pair<codec::Json, std::uint64_t>> to_join_;  // long records and their stamps
   std::map<std::string, std::vector<std::string>> side_keys_;
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "constants.h"
+#include "store_keys.h"
 
 namespace corkmux {
 namespace c = constants;
@@ -85,6 +86,7 @@
   config.details = spdlog::should_log(spdlog::level::debug);
   r.book = std::make_unique<Cluster>(std::move(config), r.term.number, r.term.since, r.term.number);
   r.book->set_catalog(catalog_.types());
+  r.settlement = std::make_unique<Settlement>(settled_at_);
   if (all_new) all_are_new("each has said so");
   r.feed = std::make_unique<JobFeed>(
       loop_, state_, r.term, *r.book, r.hooks,
@@ -190,8 +192,16 @@
   react();
 }
 
+/// Guards against a cancel that the state service has and we have not seen, since an answer to our watch was
+/// lost: a term that is confirmed says nothing of that.
 void Leader::peers_heard(double asked_at, double youngest) {
-  if (leading() && youngest < reign_->term.contact) reign_->vouched = std::max(reign_->vouched, asked_at);
+  if (leading() && youngest < std::min(reign_->term.contact, reign_->feed->seen_at()))
+    reign_->vouched = std::max(reign_->vouched, asked_at);
+}
+
+double Leader::knows_cancels_at() const {
+  const Reign& r = *reign_;
+  return std::max(std::min(r.term.contact, r.feed->seen_at()), r.vouched);
 }
 
 void Leader::report(Report r, Way way, ReportReply reply) {
@@ -209,8 +219,7 @@
   if (way == Way::Direct) reign_->last_report = now;
   // Without word from the state service we may have been replaced, and cancels go unseen: workers are kept
   // alive only as long as a cancel can still be met.
-  if (now - std::max(reign_->term.contact, reign_->vouched) > book.config().keepalive())
-    return reply(503, "");
+  if (now - knows_cancels_at() > book.config().keepalive()) return reply(503, "");
   if (spdlog::should_log(spdlog::level::debug) && !book.machine(r.machine))
     spdlog::debug("machine {} reports for the first time: {} in {}", r.machine, r.type, r.zone);
   // Guards against orders into a cut: each would wait in vain while the launches could go with this answer.
@@ -235,6 +244,7 @@
   if (!r.book->unknown().empty()) r.feed->look_up_awaited();
   if (resumed()) r.orders->flush();
   r.writer->pump();
+  note_settled();
   if (r.book->want_plan() && !plan_timer_.active() && !r.term.resigning) {
     double wait = std::max(0.005, r.last_plan + c::kPassPause - steady_now());
     plan_timer_.once(wait, [this] { run_plan(); });
@@ -324,6 +334,24 @@
   give_up("no worker reaches us", settings_.lease_s / 2);
 }
 
+/// Guards against a job called queued long after one that it needs was cancelled, where no leader could store
+/// its end meanwhile, for want of a leader or of the state service. All controllers are told how far that is
+/// done, by the greetings of peers and, where those are cut, by a record; beyond it they do not answer for
+/// such a job.
+void Leader::note_settled() {
+  Reign& r = *reign_;
+  double seen = r.feed->seen_at();
+  if (!r.settlement->news(seen) || r.feed->joining()) return;
+  settled_at_ = r.settlement->look(seen, r.book->orphans(), !r.book->unknown().empty());
+  double now = steady_now();
+  if (settled_at_ < 0 || !r.book->awaiting() ||
+      now - r.settled_written < c::kSettledShare * settings_.cancel_s)
+    return;
+  r.settled_written = now;
+  state_.txn({{kLeaderKey, r.term.stamp}},
+             {{kSettledKey, codec::Json{{"t", wall_now() - (now - settled_at_)}}, 0}}, [](StateReply) {});
+}
+
 void Leader::push_views() {
   std::vector<codec::JobView> views;
   Cluster& book = *reign_->book;
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -13,6 +13,7 @@
 #include "loader.h"
 #include "membership.h"
 #include "settings.h"
+#include "settlement.h"
 #include "state_client.h"
 #include "store_writer.h"
 #include "term.h"
@@ -47,7 +48,9 @@
   /// leads.
   void resign(std::function<void()> done);
   bool leading() const { return reign_ && reign_->leading; }
-  /// For tests: the book of the term, null while not leading.
+  /// s of the steady clock: whatever needs a job whose cancel was told before then has its end stored. A fact
+  /// that stays true whoever leads later; -1e9: nothing is known.
+  double settled_at() const { return settled_at_; }
 
  private:
   struct Parked {
@@ -70,6 +73,8 @@
     bool leading = false;        // loaded
     double vouched = -1e9;       // last moment up to which all peers vouched that we miss no cancel
     double last_report = 0, last_plan = -1e9, last_tick = 0, forms_asked_at = -1e9;
+    std::unique_ptr<Settlement> settlement;
+    double settled_written = -1e9;
     bool state_away = false, asking_forms = false;
   };
   void won(const Election::Won& won);
@@ -90,6 +95,9 @@
   void tick();
   void ask_forms();
   void push_views();
+  /// s up to which we know of every cancel that users were told of, by the state service or by all peers.
+  double knows_cancels_at() const;
+  void note_settled();
   void check_reach();
   void finish_resigning(double until, std::function<void()> done);
 
@@ -102,6 +110,7 @@
   Election election_;
   Membership membership_;
   std::unique_ptr<Reign> reign_;
+  double settled_at_ = -1e9;
   Timer tick_timer_, plan_timer_, retry_timer_, resign_timer_;
 };
 
--- a/src/proofs/proof_queue.cc
+++ b/src/proofs/proof_queue.cc
@@ -14,9 +14,9 @@
       jobs_(std::max(1, jobs)),
       most_known_(std::max<std::size_t>(1, most_known)) {}
 
-void ProofQueue::learn(const std::string& job, std::uint64_t stamp) {
+void ProofQueue::learn(const std::string& job, std::uint64_t stamp, bool awaits) {
   // Only jobs that are there get in, so nobody can push them out by asking about others.
-  if (!known_.insert_or_assign(job, stamp).second) return;
+  if (!known_.insert_or_assign(job, Known{stamp, awaits}).second) return;
   known_order_.push_back(job);
   while (known_.size() > most_known_) {
     known_.erase(known_order_.front());
@@ -80,7 +80,8 @@
       put(std::move(question), true);
       continue;
     }
-    look.stamps.push_back(known->second);
+    look.stamps.push_back(known->second.stamp);
+    look.awaiting.push_back(known->second.awaits);
     look.questions.push_back(std::move(compares_.front()));
     compares_.pop_front();
   }
--- a/src/proofs/proof_queue.h
+++ b/src/proofs/proof_queue.h
@@ -32,12 +32,13 @@
     bool compare = false;
     std::vector<Question> questions;    // of a read: one
     std::vector<std::uint64_t> stamps;  // of a comparison: what each is compared with
+    std::vector<bool> awaiting;         // and whether each awaits others
   };
 
   /// `rate`: looks a second. `jobs`: that one transaction may compare. `most_known`: stamps remembered.
   ProofQueue(double rate, int jobs, std::size_t most_known);
-  /// The job is unfinished as of this stamp.
-  void learn(const std::string& job, std::uint64_t stamp);
+  /// The job is unfinished as of this stamp. `awaits`: it awaits others, or may.
+  void learn(const std::string& job, std::uint64_t stamp, bool awaits = false);
   /// It is over.
   void forget(const std::string& job);
   void ask(Ticket ticket, const std::string& job, double now);
@@ -71,7 +72,11 @@
   double rate_, left_, at_ = -1e9;
   int jobs_;
   std::size_t most_known_;
-  std::unordered_map<std::string, std::uint64_t> known_;
+  struct Known {
+    std::uint64_t stamp = 0;
+    bool awaits = false;
+  };
+  std::unordered_map<std::string, Known> known_;
   std::deque<std::string> known_order_;
   std::deque<Question> compares_, reads_;
   std::unordered_map<std::string, double> owed_;  // jobs whose last question got no answer, since when
--- a/src/proofs/proofs.cc
+++ b/src/proofs/proofs.cc
@@ -79,7 +79,7 @@
       case StateStatus::Ok:
         queue_.answered(look);
         for (std::size_t i = 0; i < look.questions.size(); ++i)
-          tell(look.questions[i].tickets, Standing{true, look.stamps[i]});
+          tell(look.questions[i].tickets, Standing{true, look.stamps[i], {}, look.awaiting[i]});
         break;
       case StateStatus::Conflict: {
         std::unordered_set<std::string> jobs;
@@ -117,7 +117,7 @@
     queue_.answered(look);
     const auto& question = look.questions.front();
     if (standing->unfinished)
-      queue_.learn(question.job, standing->stamp);
+      queue_.learn(question.job, standing->stamp, standing->awaits);
     else
       queue_.forget(question.job);
     tell(question.tickets, standing);
--- a/src/proofs/proofs.h
+++ b/src/proofs/proofs.h
@@ -21,6 +21,7 @@
     bool unfinished = false;
     std::uint64_t stamp = 0;  // of an unfinished job's record
     std::string phase = {};   // of any other: as it is to be told; empty: never accepted
+    bool awaits = false;      // an unfinished job that awaits others, or may
   };
   /// No value: the state service could not say.
   using Done = std::function<void(std::optional<Standing>)>;
@@ -29,7 +30,9 @@
   /// Answered within kQueryTime, or given up on.
   void ask(const std::string& job, Done done);
   /// The job was accepted, or read for another reason.
-  void learn(const std::string& job, std::uint64_t stamp) { queue_.learn(job, stamp); }
+  void learn(const std::string& job, std::uint64_t stamp, bool awaits = false) {
+    queue_.learn(job, stamp, awaits);
+  }
   void forget(const std::string& job) { queue_.forget(job); }
   std::size_t known() const { return queue_.known(); }
 
--- a/src/world/checker.cc
+++ b/src/world/checker.cc
@@ -94,7 +94,10 @@
   if (phase == "done" && job.done < job.spec.tasks)
     broke("not_done", fmt::format("{} with {} of {} tasks", id, job.done, job.spec.tasks));
   if (phase == "done" && job.done_told < 0) job.done_told = now_();
-  if (phase == "cancelled" && job.cancel_told < 0) job.cancel_told = now_();
+  if (phase == "cancelled" && job.cancel_told < 0) {
+    job.cancel_told = now_();
+    if (!job.places.empty()) cancels_of_running_.push_back(now_());
+  }
 }
 
 void Checker::answered_submission(const std::string& id, int status, const std::string& phase,
@@ -129,7 +132,11 @@
     any_poll_answered_ = now, job.silent_since = -1;
   } else if (job.accepted) {
     if (job.silent_since < 0) job.silent_since = now;
-    if (now - job.silent_since > kSilentPolls && any_poll_answered_ > job.silent_since) {
+    bool in_calm = now - std::max(job.silent_since, calm_from_) > kSilentInCalm;
+    if (in_calm) {
+      broke("forgotten", fmt::format("nothing is learnt of {} though all troubles are over", id));
+      job.silent_since = now;
+    } else if (now - job.silent_since > kSilentPolls && any_poll_answered_ > job.silent_since) {
       broke("forgotten", fmt::format("every poll for {} fails", id));
       job.silent_since = now;
     }
@@ -165,6 +172,11 @@
   longest_pause_ = std::max(longest_pause_, now - std::max(waits_since_, last_start_));
 }
 
+int Checker::cancels_told(double from, double to) const {
+  return static_cast<int>(std::count_if(cancels_of_running_.begin(), cancels_of_running_.end(),
+                                        [&](double at) { return at >= from && at <= to; }));
+}
+
 void Checker::finish() {
   double now = now_();
   for (const auto& [id, job] : jobs_)
--- a/src/world/checker.h
+++ b/src/world/checker.h
@@ -18,6 +18,9 @@
   Checker(std::vector<Team> teams, double cancel_s, std::function<double()> now)
       : teams_(std::move(teams)), cancel_s_(cancel_s), now_(std::move(now)) {}
 
+  /// From then on, s of the world, nothing is wrong any more.
+  void calm_from(double at) { calm_from_ = at; }
+
   // --- machines ---
   void on(const std::string& machine, const std::string& type, const std::string& zone, bool spot,
           const Work& work, int index, std::uint64_t attempt) override;
@@ -60,6 +63,9 @@
   /// Questions about jobs that were accepted, and those answered 200 in time.
   int polls() const { return polls_; }
   int polls_answered() const { return polls_answered_; }
+  /// Users told of a cancel between these moments, s of the world, while tasks of their jobs were on
+  /// machines.
+  int cancels_told(double from, double to) const;
   /// For finding work that waits: accepted, not told to be over, and not all of it on machines.
   struct Open {
     const Work* work;
@@ -83,6 +89,7 @@
     double done_at = -1;
     std::map<int, Place> places;
   };
+  std::vector<double> cancels_of_running_;  // when users were told
   void broke(const char* rule, const std::string& what);
   void told(Job& job, const std::string& id, int status, const std::string& phase, double asked_at);
   std::map<std::string, Share> shares(std::string JobSpec::*name) const;
@@ -95,7 +102,7 @@
   std::map<std::string, double> lost_;
   std::set<std::string> open_;
   int starts_ = 0, polls_ = 0, polls_answered_ = 0;
-  double last_start_ = 0, waits_since_ = -1, longest_pause_ = 0, any_poll_answered_ = 0;
+  double calm_from_ = 1e18, last_start_ = 0, waits_since_ = -1, longest_pause_ = 0, any_poll_answered_ = 0;
 };
 
 }  // namespace corkmux::world
--- a/src/world/clockwork.cc
+++ b/src/world/clockwork.cc
@@ -113,6 +113,9 @@
 void Clockwork::lose_answers(Between between, double share, double until) {
   lossy_.push_back({std::move(between), share, until});
 }
+void Clockwork::lose_requests(Between between, double until) {
+  mute_.push_back({std::move(between), 1, until});
+}
 void Clockwork::slow(Between between, double factor, double until) {
   slow_.push_back({std::move(between), factor, until});
 }
@@ -153,6 +156,17 @@
     if (c->mode == CutMode::Reset)
       return finish(id, {0, "", true, "the connection was closed"}, delay(from, *to)), true;
   }
+  for (const auto& m : mute_)
+    if (m.until > now_ && m.between(from, *to)) return true;
+  for (const auto& l : late_) {
+    if (l.until <= now_ || !l.between(from, *to) || request.target.rfind(l.path, 0) != 0) continue;
+    if (uniform(0, 1) >= l.share) continue;
+    auto copy = next_call_++;
+    calls_[copy] = {&from, to, [](http::Result) {}};
+    at(now_ + uniform(l.least_s, l.most_s), nullptr,
+       [this, copy, port = port_of(address), request]() mutable { deliver(copy, port, std::move(request)); });
+    if (l.only_then) return true;
+  }
   if (out) held = out->until;
   double when = std::max(now_, held) + delay(from, *to);
   at(when, nullptr, [this, id, port = port_of(address), request = std::move(request)]() mutable {
--- a/src/world/clockwork.h
+++ b/src/world/clockwork.h
@@ -93,6 +93,18 @@
   void cut(Between between, CutMode mode, double until);
   /// Answers between them are lost after the request was executed, with that probability.
   void lose_answers(Between between, double share, double until);
+  /// Requests between them are lost before anybody sees them.
+  void lose_requests(Between between, double until);
+  /// That share of the requests to this path come once more, from `least_s` to `most_s` later, and whatever
+  /// is answered then is lost; or come only then, so that whoever asked gets no answer.
+  struct Late {
+    Between between;
+    std::string path;
+    double share = 0, least_s = 0, most_s = 0;
+    bool only_then = false;
+    double until = 0;
+  };
+  void come_late(Late late) { late_.push_back(std::move(late)); }
   /// Multiplies delays.
   void slow(Between between, double factor, double until);
 
@@ -146,7 +158,8 @@
   std::unordered_map<std::string, Host*> by_ip_;
   std::map<std::uint64_t, Call> calls_;
   std::vector<Cut> cuts_;
-  std::vector<Weak> lossy_, slow_;
+  std::vector<Weak> lossy_, mute_, slow_;
+  std::vector<Late> late_;
   std::unique_ptr<Host> outside_;  // whose clocks tell while no host runs
 };
 
--- a/src/world/plan.cc
+++ b/src/world/plan.cc
@@ -76,10 +76,11 @@
 
 const std::vector<std::string>& fault_kinds() {
   static const std::vector<std::string> kinds = {
-      "node_crash",     "node_freeze",   "node_roll",    "node_cut",    "node_slow",    "peers_refuse",
-      "state_outage",   "state_refuses", "state_limits", "state_slow",  "answers_lost", "zone_cut",
-      "zone_partition", "machine_die",   "machine_hang", "machine_cut", "machine_sick", "spot_taken",
-      "job_burst",      "cloud_outage",  "node_down",    "poll_storm"};
+      "node_crash",   "node_freeze",  "node_roll",      "node_cut",     "node_slow",
+      "peers_refuse", "state_outage", "state_refuses",  "state_limits", "state_slow",
+      "answers_lost", "zone_cut",     "zone_partition", "machine_die",  "machine_hang",
+      "machine_cut",  "machine_sick", "spot_taken",     "job_burst",    "cloud_outage",
+      "node_down",    "poll_storm",   "late_writes",    "late_reports", "machine_deaf"};
   return kinds;
 }
 
@@ -207,7 +208,8 @@
     // Some are back at once, and some of them end again and again.
     if (f.kind == "node_crash" && rng() % 2) f.back_s = uniform(0.05, 1), f.every_s = uniform(0.3, 3);
     if (f.back_s > 0 && rng() % 2) f.times = 1 + static_cast<int>(rng() % 5);
-    f.share = f.kind == "answers_lost" ? uniform(0.05, 0.4) : uniform(0.2, 0.8);
+    bool some = f.kind == "answers_lost" || f.kind == "late_writes" || f.kind == "late_reports";
+    f.share = some ? uniform(0.05, 0.4) : uniform(0.2, 0.8);
     f.notice_s = rng() % 2 ? uniform(5, 30) : 0;
     if (f.kind == "state_limits") {
       const auto& next = plan.site.next;
--- a/src/world/world.cc
+++ b/src/world/world.cc
@@ -72,6 +72,11 @@
     processes_.push_back(std::move(p));
   }
   for (auto& p : processes_) start(*p);
+  double calm = 0;
+  for (const auto& f : plan_.faults)
+    calm = std::max(calm, f.at_s + f.for_s + f.every_s * (f.times + static_cast<double>(processes_.size())) +
+                              std::max(f.back_s, plan_.restart_s));
+  checker_.calm_from(calm);
   for (const auto& m : plan_.machines)
     for (int i = 0; i < m.initial; ++i) boot(cloud_->add(m.where.type, m.where.zone, m.where.spot));
   clockwork_.as(users_host_, [&] {
@@ -289,6 +294,7 @@
     users_->ask_more(f.factor);
     return after(f.for_s, [this] { users_->ask_more(1); });
   }
+  if (f.kind.rfind("late_", 0) == 0) return late_fault(f);
   if (f.kind.rfind("machine_", 0) == 0 || f.kind == "spot_taken") return machine_fault(f);
   if (f.kind == "state_outage") {
     state_->down = true;
@@ -326,6 +332,32 @@
   cut_fault(f);
 }
 
+/// What arrives again, or late, after newer ones.
+void World::late_fault(const Fault& f) {
+  const bool writes = f.kind == "late_writes";
+  Clockwork::Late late;
+  late.between = [writes](const Host& a, const Host& b) {
+    return writes ? a.role == "controller" && b.role == "state"
+                  : a.role == "worker" && b.role == "controller";
+  };
+  late.path = writes ? "/multi" : "/v1/report";
+  late.share = f.share, late.only_then = writes, late.until = clockwork_.now() + f.for_s;
+  late.least_s = kLateLeast;
+  late.most_s = writes ? kLateWriteMost : kLateReportLeases * plan_.site.lease_s;
+  clockwork_.come_late(std::move(late));
+}
+
+/// Their reports arrive; what is said to them does not.
+void World::deafen(const std::vector<std::string>& names, double until) {
+  std::set<const Host*> deaf;
+  for (const auto& name : names) deaf.insert(machines_.at(name).host);
+  clockwork_.lose_answers(
+      [deaf](const Host& a, const Host& b) { return a.role == "controller" && deaf.count(&b) > 0; }, 1,
+      until);
+  clockwork_.lose_requests(
+      [deaf](const Host& a, const Host& b) { return a.role == "controller" && deaf.count(&b) > 0; }, until);
+}
+
 void World::node_fault(const Fault& f) {
   if (f.kind == "node_roll") {
     for (std::size_t i = 0; i < processes_.size(); ++i)
@@ -345,7 +377,10 @@
 void World::machine_fault(const Fault& f) {
   bool taken = f.kind == "spot_taken";
   int count = f.count;
-  if (taken) count = static_cast<int>(std::ceil(f.share * some_machines(1 << 20, f.zone, true).size()));
+  if (taken || (f.kind == "machine_deaf" && f.share > 0))
+    count = static_cast<int>(std::ceil(f.share * some_machines(1 << 20, f.zone, taken).size()));
+  if (f.kind == "machine_deaf")
+    return deafen(some_machines(count, f.zone, false), clockwork_.now() + f.for_s);
   for (const auto& name : some_machines(count, taken || f.kind == "machine_die" ? f.zone : "", taken)) {
     Machine& m = machines_.at(name);
     if (f.kind == "machine_die") {
--- a/src/world/world.h
+++ b/src/world/world.h
@@ -96,6 +96,8 @@
   void node_fault(const Fault& fault);
   void machine_fault(const Fault& fault);
   void cut_fault(const Fault& fault);
+  void late_fault(const Fault& fault);
+  void deafen(const std::vector<std::string>& names, double until);
   std::vector<Process*> chosen(const Fault& fault);
   std::vector<std::string> some_machines(int count, const std::string& zone, bool spot_only);
   void after(double s, std::function<void()> fn) {
--- a/src/world/world_constants.h
+++ b/src/world/world_constants.h
@@ -39,11 +39,17 @@
 
 inline constexpr double kProofSlack = 0.05;  // s by which a hanging machine's tasks end after its lease
 
+// --- what comes late, as the operators' bench has it ---
+inline constexpr double kLateLeast = 2;           // s
+inline constexpr double kLateWriteMost = 12;      // s
+inline constexpr double kLateReportLeases = 1.5;  // leases
+
 // --- users (PROTOCOL) ---
 inline constexpr double kSubmitWait = 5, kPollWait = 2, kPollEvery = 5, kSubmitGiveUp = 60, kAgain = 1;  // s
 inline constexpr double kReadyEvery = 1, kReadyWait = 1, kReadyPause = 3, kReadyPauseMost = 60;          // s
-inline constexpr double kRefusedPause = 3;  // s without new connections after three that failed
-inline constexpr double kSilentPolls = 90;  // s in which every poll for a job fails: forgotten
+inline constexpr double kRefusedPause = 3;   // s without new connections after three that failed
+inline constexpr double kSilentPolls = 90;   // s in which every poll for a job fails: forgotten
+inline constexpr double kSilentInCalm = 75;  // s, once all troubles are over, however others fare
 
 // --- checker ---
 inline constexpr double kLook = 0.25;  // s between looks whether work that fits waits
--- a/tests/awaits_test.cc
+++ b/tests/awaits_test.cc
@@ -1,8 +1,11 @@
 // Jobs that await jobs, in the book: what they inherit, what they hold, and what a cancellation costs.
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "cluster.h"
 #include "fleet.h"
+#include "settlement.h"
 
 namespace corkmux {
 namespace {
@@ -108,5 +111,67 @@
   EXPECT_EQ(book->job("run-b")->active.count(0), 1u);
 }
 
+// What the leader says is settled, against every cancel and every end as they were: each job that a cancel
+// before that moment ended, and that was accepted before it, has its end stored.
+TEST(Settling, ClaimsNothingThatIsNotSo) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 rng(seed);
+    auto chance = [&](double p) { return std::uniform_real_distribution<double>(0, 1)(rng) < p; };
+    struct Orphan {
+      double cancelled_at, known_from;
+      bool looked_up, ended = false;
+    };
+    std::map<std::string, Orphan> all;
+    double claimed = -1e9, now = 0, seen = -1e9;
+    auto settlement = std::make_unique<Settlement>(claimed);
+    bool outage = false, advanced = false;
+    for (int step = 0; step < 400; ++step) {
+      now += 0.5;
+      if (chance(0.02)) outage = !outage;
+      // A cancel is told while the state service answers; the leader hears of it at once from a peer, or by
+      // its watch.
+      if (!outage && chance(0.3))
+        all[std::to_string(step)] = {now, chance(0.5) ? now : now + 0.1, chance(0.2)};
+      if (!outage && chance(0.8)) seen = now;
+      if (chance(0.02)) {  // another term: it reads all that is there
+        settlement = std::make_unique<Settlement>(claimed);
+        seen = now - 0.25;
+      }
+      std::vector<std::string> pending;
+      bool unclear = false;
+      for (auto& [id, o] : all) {
+        if (o.ended || std::min(o.cancelled_at, o.known_from) > now ||
+            (o.known_from > now && seen < o.cancelled_at))
+          continue;
+        if (o.looked_up) {
+          unclear = true;
+          o.looked_up = chance(0.5);
+        } else if (!outage && chance(0.4)) {
+          o.ended = true;
+        } else {
+          pending.push_back(id);
+        }
+      }
+      double before = claimed;
+      claimed = settlement->look(seen, pending, unclear);
+      ASSERT_GE(claimed, before);
+      advanced |= claimed > 1;
+      for (const auto& [id, o] : all)
+        ASSERT_TRUE(o.ended || o.cancelled_at >= claimed) << "seed " << seed << " at " << now << ": " << id;
+    }
+    EXPECT_TRUE(advanced) << seed;
+  }
+}
+
+TEST_F(Awaits, EndsAreStoredInTheOrderInWhichTheyCame) {
+  for (const char* id : {"run-9", "run-5", "run-7"}) {
+    add(id, {});
+    book->put_job(book->job(id)->spec, ++stamp, true, 0);
+  }
+  EXPECT_EQ(book->finished_jobs(), (std::vector<std::string>{"run-9", "run-5", "run-7"}));
+  book->put_job(book->job("run-9")->spec, ++stamp, true, 0);  // known already: keeps its place
+  EXPECT_EQ(book->finished_jobs().front(), "run-9");
+}
+
 }  // namespace
 }  // namespace corkmux
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -65,6 +65,72 @@
   EXPECT_TRUE(wait_for([&] { return workers[0]->tasks() == 0; }, 10));
 }
 
+// The answer to the leader's watch is lost for longer than a cancel may take, and the controller that told
+// the user is gone before it could tell anybody else: what the leader has not seen, it must not outlast.
+TEST_F(Site, ALeaderThatCannotHaveSeenACancelStopsAnsweringWorkersInTime) {
+  cancel_s = 13;
+  start_controller("one");
+  ASSERT_TRUE(wait_for([&] { return !leader().empty(); }));
+  add_worker("n-1", "a", 1000);
+  EXPECT_EQ(submit("one", job("run-1", 4)), 201);
+  ASSERT_TRUE(wait_for([&] { return workers[0]->running() == 4; }));
+  state.lose_watches = true;
+  wait_for([] { return false; }, 1.5);
+  auto record = state.values().at("a/run-1");
+  record["c"] = 1;
+  state.put("a/run-1", record);
+  state.put("f/run-1", {{"p", "cancelled"}, {"n", 0}, {"t", wall_now()}});
+  double told = steady_now();
+  ASSERT_TRUE(wait_for([&] { return workers[0]->tasks() == 0; }));
+  EXPECT_LT(steady_now() - told, cancel_s);
+}
+
+// A controller that has lost the state service and every other controller cannot tell an outage from being
+// cut off: users that keep to it would ask in vain for as long as that lasts.
+TEST_F(Site, AControllerThatHearsNobodyStepsOutOfTheWayAndComesBack) {
+  others = {{"two", "a", "127.0.0.1:1"}};
+  start_controller("one");
+  ASSERT_TRUE(wait_for([&] { return call("one", "GET", "/ready", "").status == 200; }));
+  state.down = true;
+  double since = steady_now();
+  ASSERT_TRUE(wait_for([&] { return call("one", "GET", "/ready", "").status == 503; }));
+  EXPECT_GT(steady_now() - since, 8);  // not for each short outage
+  state.down = false;
+  EXPECT_TRUE(wait_for([&] { return call("one", "GET", "/ready", "").status == 200; }));
+}
+
+// A job whose predecessor was cancelled has its end from the leader. Where none could store it for so long,
+// the job is not called queued; and the answer comes as soon as the leader knows.
+TEST_F(Site, AJobThatCanNeverRunIsNotCalledQueuedBecauseNobodyStoredItsEnd) {
+  cancel_s = 13;
+  start_controller("one");
+  ASSERT_TRUE(wait_for([&] { return !leader().empty(); }));
+  EXPECT_EQ(submit("one", job("run-1")), 201);
+  Json second = job("run-2");
+  second["awaits"] = {"run-1"};
+  EXPECT_EQ(submit("one", second), 201);
+  EXPECT_EQ(phase("one", "run-2"), "queued");
+  state.lose_watches = true;
+  wait_for([] { return false; }, 1.5);
+  auto record = state.values().at("a/run-1");
+  record["c"] = 1;
+  state.put("a/run-1", record);
+  state.put("f/run-1", {{"p", "cancelled"}, {"n", 0}, {"t", wall_now()}});
+  double told = steady_now();
+  EXPECT_EQ(phase("one", "run-2"), "queued");  // which it may be called for cancel_s
+  std::string last;
+  while (steady_now() - told < cancel_s + 1) {
+    double asked = steady_now();
+    last = phase("one", "run-2");
+    if (asked - told > cancel_s) EXPECT_NE(last, "queued") << asked - told;
+    if (asked - told > cancel_s && last != "cancelled")
+      EXPECT_EQ(call("one", "POST", "/work", codec::pack(second)).status, 503);
+    wait_for([] { return false; }, 0.2);
+  }
+  state.lose_watches = false;
+  EXPECT_TRUE(wait_for([&] { return phase("one", "run-2") == "cancelled"; }));
+}
+
 TEST_F(Site, RunningTasksAndAcceptedJobsOutliveEveryController) {
   start_controller("one");
   start_controller("two");
--- /dev/null
+++ b/tests/peers_test.cc
@@ -0,0 +1,160 @@
+// What controllers tell each other of cancels: every name once, all of them again to a new life, and nothing
+// that a peer says can end a controller or be taken for what it is not.
+#include "peers.h"
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <set>
+
+namespace corkmux {
+namespace {
+
+using codec::Json;
+
+struct PeersTest : ::testing::Test {
+  struct One {
+    std::multiset<std::string> cancelled;
+    double heard = -1e9, youngest = 0;
+    double settled = -1e9;
+    std::unique_ptr<Peers> peers;
+  };
+  Loop loop;
+  One asks, tells;
+  void SetUp() override { spdlog::set_level(spdlog::level::off); }
+  void start(One& one, const std::string& label, std::vector<PeerAddress> others, double mem_mb = 56) {
+    Settings s;
+    s.label = label, s.peer_listen = "127.0.0.1:0", s.cancel_s = 30, s.mem_mb = mem_mb,
+    s.peers = std::move(others);
+    Peers::Hooks hooks;
+    hooks.state_age = [] { return 0.0; };
+    hooks.newer_term = [](std::uint64_t) {};
+    hooks.view = [](const codec::JobView&) {};
+    hooks.cancelled = [&one](const std::vector<std::string>& jobs) {
+      one.cancelled.insert(jobs.begin(), jobs.end());
+    };
+    hooks.all_heard = [&one](double asked_at, double youngest) {
+      one.heard = asked_at, one.youngest = youngest;
+    };
+    hooks.settled_at = [&one] { return one.settled; };
+    one.peers = std::make_unique<Peers>(loop, s, hooks);
+  }
+  void pair(double mem_mb = 56) {
+    start(tells, "tells", {}, mem_mb);
+    start(asks, "asks", {{"tells", "a", "127.0.0.1:" + std::to_string(tells.peers->port())}});
+    asks.peers->start();
+  }
+  bool wait_for(std::function<bool()> condition, double at_most = 20) {
+    double until = steady_now() + at_most;
+    Timer tick(loop);
+    tick.every(0.01, [] {});
+    bool met = false;
+    while (!(met = condition()) && steady_now() < until) loop.run_once();
+    return met;
+  }
+  static std::string id(int n) { return "run-" + std::to_string(100000 + n); }
+  http::Result sync(const Json& body) {
+    http::Client client(loop, "127.0.0.1:" + std::to_string(tells.peers->port()), 1, 4);
+    http::Result result;
+    bool done = false;
+    client.request("POST", "/peer/sync", codec::pack(body), 5,
+                   [&](http::Result r) { result = std::move(r), done = true; });
+    wait_for([&] { return done; });
+    return result;
+  }
+};
+
+// 2,000 within a moment, as when the users of a fleet give up on an outage: each name is heard, sent once,
+// and the peer still vouches.
+TEST_F(PeersTest, ThousandsOfCancelsAreToldOnceEachAndTheTellerGoesOnVouching) {
+  pair();
+  for (int i = 0; i < 2000; ++i) tells.peers->accepted_cancel(id(i));
+  ASSERT_TRUE(wait_for([&] { return asks.cancelled.size() >= 2000; }));
+  double since = steady_now();
+  ASSERT_TRUE(wait_for([&] { return asks.heard > since; }));
+  EXPECT_EQ(asks.cancelled.size(), 2000u);
+  for (int i = 0; i < 2000; ++i) EXPECT_EQ(asks.cancelled.count(id(i)), 1u);
+  tells.peers->accepted_cancel(id(2000));
+  EXPECT_TRUE(wait_for([&] { return asks.cancelled.count(id(2000)) == 1; }));
+}
+
+TEST_F(PeersTest, WhoLosesANameForWantOfRoomDoesNotVouch) {
+  pair(0);  // room for 500
+  ASSERT_TRUE(wait_for([&] { return asks.heard > 0; }));
+  for (int i = 0; i < 700; ++i) tells.peers->accepted_cancel(id(i));
+  double since = steady_now();
+  EXPECT_FALSE(wait_for([&] { return asks.heard > since; }, 3));
+}
+
+// A former version asks without numbers: it gets as many as it used to take, and is told when there are more.
+TEST_F(PeersTest, AFormerVersionGetsTheListItKnows) {
+  pair();
+  for (int i = 0; i < 3; ++i) tells.peers->accepted_cancel(id(i));
+  auto few = *codec::unpack(sync({{"label", "old"}, {"term", 0}}).body);
+  EXPECT_EQ(few["cancels"].size(), 3u);
+  EXPECT_FALSE(few.contains("overflow"));
+  for (int i = 3; i < 700; ++i) tells.peers->accepted_cancel(id(i));
+  auto many = *codec::unpack(sync({{"label", "old"}, {"term", 0}}).body);
+  EXPECT_EQ(many["cancels"].size(), 500u);
+  EXPECT_TRUE(many["overflow"]);
+}
+
+TEST_F(PeersTest, ANewLifeIsAskedForAllThatItKnows) {
+  pair();
+  for (int i = 0; i < 5; ++i) tells.peers->accepted_cancel(id(i));
+  ASSERT_TRUE(wait_for([&] { return asks.cancelled.size() == 5; }));
+  auto numbered = [&](std::uint64_t told, std::uint64_t by) {
+    return (*codec::unpack(sync({{"label", "x"}, {"told", told}, {"told_by", by}}).body))["cancels"].size();
+  };
+  auto boot = (*codec::unpack(sync({{"label", "x"}}).body))["boot"].get<std::uint64_t>();
+  EXPECT_EQ(numbered(3, boot), 2u);
+  EXPECT_EQ(numbered(3, boot + 1), 5u);  // numbers of another life mean nothing
+  EXPECT_EQ(numbered(1000, boot), 0u);
+}
+
+TEST_F(PeersTest, WhatIsSettledIsHeardAsNoLaterThanItIsMeant) {
+  pair();
+  tells.settled = steady_now() - 7;
+  ASSERT_TRUE(wait_for([&] { return asks.peers->settled_at() > 0; }));
+  EXPECT_LE(asks.peers->settled_at(), tells.settled + 0.001);
+  EXPECT_GT(asks.peers->settled_at(), tells.settled - 3);
+}
+
+TEST_F(PeersTest, JunkIsNeitherTrustedNorTheEndOfAnybody) {
+  pair();
+  const std::vector<Json> junk = {
+      Json::array({1, 2}),
+      Json("text"),
+      Json(nullptr),
+      {{"label", 7}, {"term", "high"}, {"state_age", Json::array()}, {"told", -4}, {"told_by", "x"}},
+      {{"label", "tells"},
+       {"term", 1.5},
+       {"state_age", nullptr},
+       {"jobs", {{1, 2, 3, 4, 5}, "x", {"run-1", "done"}}}},
+      {{"label", "tells"}, {"jobs", {{"run-1", "queued", "a", 1, ""}, {"run-1", "queued", 1.5, 1, ""}}}}};
+  for (const auto& body : junk) {
+    int status = sync(body).status;
+    EXPECT_TRUE(status == 200 || status == 400) << body;
+  }
+  // An answer with junk among its cancels: the names that can be are heard, and it vouches for nothing.
+  http::Server liar(loop, "127.0.0.1:0", 8, [&liar](http::Server::ConnectionId c, http::Request) {
+    liar.respond(c, {200,
+                     codec::pack(Json{{"boot", 1},
+                                      {"label", "liar"},
+                                      {"told", "many"},
+                                      {"settled_age", -1},
+                                      {"overflow", "no"},
+                                      {"cancels", {3, "sheet 7", "run-000001", nullptr}}}),
+                     0, false});
+  });
+  One hears;
+  start(hears, "hears", {{"liar", "a", "127.0.0.1:" + std::to_string(liar.port())}});
+  hears.peers->start();
+  ASSERT_TRUE(wait_for([&] { return hears.cancelled.count("run-000001") > 0; }));
+  EXPECT_FALSE(wait_for([&] { return hears.heard > 0; }, 2));
+  EXPECT_LT(hears.peers->settled_at(), 0);
+  EXPECT_EQ(hears.cancelled.size(), hears.cancelled.count("run-000001"));
+}
+
+}  // namespace
+}  // namespace corkmux
--- a/tests/planted_test.cc
+++ b/tests/planted_test.cc
@@ -1,5 +1,5 @@
-// One defect each in election, keeper, lease watch, mail and book: a world must find it, and is good without
-// it. Built from the same sources with CORKMUX_PLANTED.
+// One defect each in election, keeper, lease watch, mail, book and peers: a world must find it, and is good
+// without it. Built from the same sources with CORKMUX_PLANTED.
 #include "planted.h"
 
 #include <gtest/gtest.h>
@@ -40,7 +40,8 @@
 }
 
 std::string part(const ::testing::TestParamInfo<Case>& info) {
-  static const std::vector<std::string> parts = {"election", "keeper", "lease_watch", "mail", "book"};
+  static const std::vector<std::string> parts = {"election", "keeper", "lease_watch",
+                                                 "mail",     "book",   "peers"};
   return parts[info.index];
 }
 INSTANTIATE_TEST_SUITE_P(
@@ -50,7 +51,8 @@
                            60},
                       Case{"keepers are not asked", "scarce", "apart-and-leaders-end", 60},
                       Case{"mail for the leader is not read", "scarce", "apart", 60},
-                      Case{"half a lease counts as a whole one", "forty", "zone-cut", 10}),
+                      Case{"half a lease counts as a whole one", "forty", "zone-cut", 10},
+                      Case{"cancels of peers are not heard", "long", "away-before-anybody-follows", 5}),
     part);
 
 /// In the book alone, against a plain model: what is not urgent ends up below half without the floor.
--- a/tests/site.h
+++ b/tests/site.h
@@ -30,7 +30,7 @@
     s.label = label, s.zone = "a", s.listen = s.peer_listen = "127.0.0.1:0";
     s.cloud = cloud.address(), s.state = state.address(), s.zones = {"a", "b"};
     s.teams = {{"x", 16, 64, 0, 0}};
-    s.report_s = 0.5, s.lease_s = 8, s.gang_wait_s = 20, s.gang_peer_s = 4, s.cancel_s = 30;
+    s.report_s = 0.5, s.lease_s = 8, s.gang_wait_s = 20, s.gang_peer_s = 4, s.cancel_s = cancel_s;
     s.state_rps = 1000, s.state_write_rps = 500, s.value_kb = 16, s.txn_ops = 12, s.cloud_rps = 10,
     s.list_lag_s = 1;
     s.next = limits, s.peers = others;
@@ -97,6 +97,7 @@
     return "";
   }
 
+  double cancel_s = 30;
   StateLimits limits{500, 16, 12};
   std::vector<PeerAddress> others;
   Loop loop;
--- a/tests/world_test.cc
+++ b/tests/world_test.cc
@@ -52,6 +52,41 @@
                                                               "asked-and-silent", "back-at-once")),
                          day_name);
 
+// Two troubles at once (docs/meetings.md): long tasks, many cancels. `gap`: s of the world in which the
+// meeting is held to happen, and how many users at least have to be told of a cancel of running tasks in it,
+// over all seeds.
+struct Meeting {
+  const char* day;
+  double from, to;
+  int told;
+};
+class Meetings : public ::testing::TestWithParam<Meeting> {};
+TEST_P(Meetings, BreakNoRule) {
+  spdlog::set_level(spdlog::level::off);
+  int told_in_gap = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    World world(load_plan(file("long"), GetParam().day), seed);
+    world.run();
+    EXPECT_TRUE(world.good()) << GetParam().day << " seed " << seed << "\n" << told(world);
+    EXPECT_GT(world.checker().starts(), 100);
+    told_in_gap += world.checker().cancels_told(GetParam().from, GetParam().to);
+  }
+  EXPECT_GE(told_in_gap, GetParam().told);
+}
+std::string meeting_name(const ::testing::TestParamInfo<Meeting>& info) {
+  std::string name = info.param.day;
+  std::replace(name.begin(), name.end(), '-', '_');
+  return name;
+}
+INSTANTIATE_TEST_SUITE_P(Worlds, Meetings,
+                         ::testing::Values(Meeting{"refused-then-away", 90, 95, 3},
+                                           Meeting{"away-before-anybody-follows", 90, 92, 1},
+                                           Meeting{"refused-and-alone", 90, 96, 3},
+                                           Meeting{"late-and-deaf", 50, 180, 30},
+                                           Meeting{"ends-while-machines-are-deaf", 80, 134, 20},
+                                           Meeting{"slow-then-refused", 60, 104, 10}),
+                         meeting_name);
+
 TEST(World, TheSameSeedGivesTheSameHistory) {
   spdlog::set_level(spdlog::level::off);
   auto play = [](std::uint64_t seed) {
