--- a/src/book/cluster.cc
+++ b/src/book/cluster.cc
@@ -408,7 +408,7 @@
   m.type = type;
   m.zone = zone;
   m.spot = spot;
-  m.token = next_number();
+  fence(m);
   m.rented_at = now;
   if (const auto* t = this->type(type)) m.size = m.free = t->size;
 }
--- a/src/book/cluster.h
+++ b/src/book/cluster.h
@@ -104,6 +104,8 @@
   bool spot = false;
   Resources size, free;
   std::uint64_t session = 0, seq = 0, token_seen = 0, token = 0;
+  std::uint64_t wanted = 0;    // token that it has to have seen before anything is placed there
+  std::uint64_t launched = 0;  // token of the last orders with launches
   double last_heard = -1e9, last_answered = -1e9, fenced_at = -1e9, last_launch = -1e9;
   double kept_until = -1e9;  // a keeper (see keeper.h) may have answered it until then
   double gone_at = -1;       // time the cloud takes it, -1: unknown
@@ -378,6 +380,8 @@
   /// Room only shrinks within a pass: what found none leaves none for the like of it.
   bool known_not_to_fit(const Job& job, double now) const;
   void note_not_fitting(const Job& job, double now);
+  /// From now on only what the machine reports under this token says that a task is not there.
+  std::uint64_t fence(Machine& m) { return m.token = m.wanted = next_number(); }
   std::uint64_t next_number() { return (term_ << constants::kTermShift) | ++counter_; }
 
   ClusterConfig config_;
--- a/src/book/cluster_placement.cc
+++ b/src/book/cluster_placement.cc
@@ -16,7 +16,7 @@
 
 bool Cluster::takes_work(const Machine& m) const {
   return m.up && !m.doomed && !m.sick && m.gone_at < 0 && m.size.cpus > 0 &&
-         m.token_seen >= (term_ << c::kTermShift) && m.token_seen >= m.token;
+         m.token_seen >= (term_ << c::kTermShift) && m.token_seen >= m.wanted;
 }
 
 bool Cluster::usable(const Machine& m, double now) const {
--- a/src/book/cluster_store.cc
+++ b/src/book/cluster_store.cc
@@ -314,7 +314,7 @@
   auto [m, fresh] = machines_.try_emplace(a.machine);
   if (fresh) {
     m->second.name = a.machine;
-    m->second.token = next_number();
+    fence(m->second);
     m->second.rented_at = started_;
   }
   // Guards against a second start: a launch of the former holder may still arrive, so only a report that
--- a/src/book/cluster_workers.cc
+++ b/src/book/cluster_workers.cc
@@ -3,6 +3,7 @@
 
 #include "cluster.h"
 #include "constants.h"
+#include "planted.h"
 
 namespace corkmux {
 namespace c = constants;
@@ -15,7 +16,7 @@
   Machine& m = it->second;
   if (fresh) {
     m.name = r.machine;
-    m.token = next_number();
+    fence(m);
     m.rented_at = now;
   }
   if (!m.up || m.type.empty()) {
@@ -67,6 +68,7 @@
   }
 
   std::set<TaskKey> present;
+  std::vector<Command> forget;
   for (const auto& t : r.tasks) {
     TaskKey key{t.job, t.index};
     Job* job = this->job(t.job);
@@ -87,7 +89,7 @@
         const Shard& s = shard_of(*job, t.index).second;
         keep = s.written_gen < s.gen;
       }
-      if (!keep) result.commands.push_back({Command::Op::Forget, t.job, t.index, t.attempt, 0});
+      if (!keep) forget.push_back({Command::Op::Forget, t.job, t.index, t.attempt, 0});
       continue;
     }
     if (!ours) {
@@ -121,6 +123,14 @@
       result.commands.push_back({Command::Op::Stop, t.job, t.index, t.attempt, a->grace_s});
   }
 
+  // Guards against a late copy of orders that were carried out: once it has cleared an attempt, the worker
+  // would start it again. So what clears it carries a token above that of all launches, and waits while any
+  // are on their way; until then the worker knows the attempt, and a copy does nothing.
+  if (channel == Channel::Report && !forget.empty() && !m.orders_in_flight) {
+    if (m.launched == m.token && !planted("what was cleared can be launched again")) m.token = next_number();
+    result.commands.insert(result.commands.end(), forget.begin(), forget.end());
+  }
+
   std::vector<TaskKey> absent;
   for (const auto& key : m.tasks)
     if (!present.count(key)) absent.push_back(key);
@@ -189,8 +199,7 @@
 
 bool Cluster::has_orders(const Machine& m) const {
   if (m.orders_in_flight || !m.up || m.address.empty()) return false;
-  bool fence = m.token_seen < m.token;
-  return m.direct && (!m.outbox.empty() || m.wants_orders || fence);
+  return m.direct && (!m.outbox.empty() || m.wants_orders || m.token_seen < m.wanted);
 }
 
 std::vector<std::string> Cluster::with_orders() {
@@ -230,6 +239,7 @@
     out.attempts.push_back(a.attempt);
     out.commands.push_back({Command::Op::Start, id, index, a.attempt, 0});
   }
+  if (!out.launches.empty()) m.launched = m.token;
   return out;
 }
 
@@ -240,7 +250,7 @@
   to_order_.insert(name);
   if (outcome == OrdersOutcome::Unanswered) {
     // The launch may still arrive, minutes late: only a higher token that the worker has seen shuts it out.
-    m->token = next_number();
+    fence(*m);
     refile(*m, now);
   }
   if (outcome == OrdersOutcome::Unsent || outcome == OrdersOutcome::Unanswered) {
--- a/src/config/toml_reader.h
+++ b/src/config/toml_reader.h
@@ -1,10 +1,13 @@
 // A table of a TOML file whose fields are read with checks; what is wrong is said with the file and the
 // field.
 #pragma once
+#include <algorithm>
 #include <cmath>
 #include <fstream>
+#include <initializer_list>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 #define TOML_EXCEPTIONS 1
 #include <toml++/toml.h>
@@ -50,6 +53,12 @@
     return Reader(file_, *t, where_ + name + ".");
   }
   bool has(const char* name) const { return table_.contains(name); }
+  /// For files of our own: a field that means nothing is a mistake.
+  void only(std::initializer_list<std::string_view> names) const {
+    for (const auto& [key, value] : table_)
+      if (std::find(names.begin(), names.end(), key.str()) == names.end())
+        fail(std::string(key.str()), "no such field");
+  }
   template <typename Fn>
   void each(const char* name, bool required, Fn fn) const {
     const auto* list = table_[name].as_array();
