--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -76,11 +76,7 @@
   ASSERT_TRUE(wait_for([&] { return workers[0]->running() == 4; }));
   state.lose_watches = true;
   wait_for([] { return false; }, 1.5);
-  auto record = state.values().at("a/run-1");
-  record["c"] = 1;
-  state.put("a/run-1", record);
-  state.put("f/run-1", {{"p", "cancelled"}, {"n", 0}, {"t", wall_now()}});
-  double told = steady_now();
+  double told = cancelled_elsewhere("run-1");
   ASSERT_TRUE(wait_for([&] { return workers[0]->tasks() == 0; }));
   EXPECT_LT(steady_now() - told, cancel_s);
 }
@@ -112,11 +108,7 @@
   EXPECT_EQ(phase("one", "run-2"), "queued");
   state.lose_watches = true;
   wait_for([] { return false; }, 1.5);
-  auto record = state.values().at("a/run-1");
-  record["c"] = 1;
-  state.put("a/run-1", record);
-  state.put("f/run-1", {{"p", "cancelled"}, {"n", 0}, {"t", wall_now()}});
-  double told = steady_now();
+  double told = cancelled_elsewhere("run-1");
   EXPECT_EQ(phase("one", "run-2"), "queued");  // which it may be called for cancel_s
   std::string last;
   while (steady_now() - told < cancel_s + 1) {
--- a/tests/site.h
+++ b/tests/site.h
@@ -91,6 +91,14 @@
     auto body = codec::unpack(r.body);
     return r.status == 200 && body ? body->value("phase", "") : std::to_string(r.status);
   }
+  /// As by a controller that told the user and was gone before it could tell any other. When: s, steady.
+  double cancelled_elsewhere(const std::string& id) {
+    auto record = state.values().at("a/" + id);
+    record["c"] = 1;
+    state.put("a/" + id, record);
+    state.put("f/" + id, {{"p", "cancelled"}, {"n", 0}, {"t", wall_now()}});
+    return steady_now();
+  }
   std::string leader() const {
     for (const auto& [label, c] : controllers)
       if (c->leading()) return label;
