A lost answer holds up neither questions nor launches; what it did is read back

One look at a time was under way and a lost one blocked all others for 2 s, longer than any question may wait; a launch whose write went unanswered was written again and again. Now a look is given up after 0.3 s (four times what looks take, where that is more) and its jobs are in the next one; a write without an answer is read back, and what stands there under a new stamp counts as stored; so are submissions, cancels and ends, so users hear what happened on their first try.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -58,6 +58,10 @@
     0.5;  // of the state service's rate, of all controllers together: the rest is for what changes things
 inline constexpr double kQueryBurst = 0.5;    // s of that share that may come at once
 inline constexpr double kQueryTime = 1.2;     // s a question may wait; its user waits 2 s in all
+inline constexpr double kLookPatience =
+    0.3;  // s until a look's answer counts as lost and its jobs are in the next one; answers take 10 ms
+inline constexpr double kLookPatienceTimes = 4;  // as long as looks have taken of late, where that is more
+inline constexpr double kLookSmoothing = 0.3;    // weight of the newest look in that
 inline constexpr int kQueryReads = 4;         // jobs read at the same time
 inline constexpr int kQueryMisses = 3;        // comparisons that proved nothing until a job is read by itself
 inline constexpr double kQueryStep = 0.002;   // s at least between looks at what waits; timers are no finer
--- a/src/controller/gateway.cc
+++ b/src/controller/gateway.cc
@@ -244,8 +244,8 @@
                    return unavailable(id, "the state service takes no changes now");
                  case StateStatus::Invalid:  // its limits have fallen
                    return store(id, job, 0);
-                 default:
-                   return unavailable(id, "the state service did not answer");
+                 default:  // it may be there
+                   return known_or(id, job->id, 503, "the state service did not answer");
                }
              });
 }
@@ -394,6 +394,8 @@
                  }
                  if (reply.status == StateStatus::Conflict && tries > 1)
                    return cancel(id, job, tries - 1, beside);
+                 // It may be cancelled: seen, or tried once more while its user waits.
+                 if (reply.status == StateStatus::Unanswered && tries > 1) return cancel(id, job, 1, beside);
                  if (reply.status == StateStatus::Invalid && !beside) return cancel(id, job, tries, true);
                  unavailable(id, "the state service takes no changes now");
                });
--- a/src/leader/store_writer.cc
+++ b/src/leader/store_writer.cc
@@ -93,18 +93,22 @@
       book_.written(batch, codec::parse_revision(reply.body), steady_now());
       return hooks_.changed();
     }
-    book_.write_failed(batch);
-    if (deposed(reply)) return;
-    if (reply.status == StateStatus::Conflict) {
-      // An earlier write of ours, taken for lost, was applied after all: its stamps are read
-      // again, so that whichever of the two comes last fails.
+    if (deposed(reply)) return book_.write_failed(batch);
+    if (reply.status == StateStatus::Conflict || reply.status == StateStatus::Unanswered) {
+      // This write or an earlier one of ours, taken for lost, may have been applied after all: what stands
+      // there is read before it is written again, so that whichever of the two comes last fails.
       auto failed = codec::parse_failed(reply.body);
+      auto differs = [&](const std::string& key) { return std::count(failed.begin(), failed.end(), key) > 0; };
       for (const auto& w : batch)
-        if (std::count(failed.begin(), failed.end(), w.key)) read_stamp(w);
+        if (reply.status == StateStatus::Unanswered || differs(w.key))
+          read_back(w);
+        else
+          book_.write_failed({w});
       for (const auto& w : batch)
-        if (std::count(failed.begin(), failed.end(), kFinals + w.job)) has_end(w.job);
+        if (differs(kFinals + w.job)) has_end(w.job);
       return hooks_.changed();
     }
+    book_.write_failed(batch);
     if (reply.status == StateStatus::Invalid) {
       std::size_t largest = 0;
       for (const auto& w : batch) largest = std::max(largest, w.value.dump().size());
@@ -122,15 +126,22 @@
   book_.put_job(JobSpec(job->spec), job->version, true, steady_now());
 }
 
-void StoreWriter::read_stamp(const ShardWrite& w) {
+/// What stands there under another stamp and says the same is as good as an answer: it was written under this
+/// term's stamp, for nobody else writes it.
+void StoreWriter::read_back(const ShardWrite& w) {
   ++in_flight_;
   state_.get(w.key, term_.guard([this, w](StateReply read) {
     --in_flight_;
-    if (read.ok()) {
-      if (auto kv = codec::parse_value(read.body)) book_.record_version(w, kv->version);
-    } else if (read.status == StateStatus::Missing) {
-      book_.record_version(w, 0);
+    auto kv = read.ok() ? codec::parse_value(read.body) : std::nullopt;
+    if (kv && kv->version > w.version && kv->value == w.value) {
+      book_.written({w}, kv->version, steady_now());
+      return hooks_.changed();
     }
+    if (kv)
+      book_.record_version(w, kv->version);
+    else if (read.status == StateStatus::Missing)
+      book_.record_version(w, 0);
+    book_.write_failed({w});
     pump_after(c::kStampPause);
   }));
 }
@@ -170,7 +181,7 @@
       return hooks_.changed();
     }
     if (deposed(reply)) return;
-    if (reply.status == StateStatus::Conflict) return reread(id);
+    if (reply.status == StateStatus::Conflict || reply.status == StateStatus::Unanswered) return reread(id);
     if (j) j->finalizing = false;
     if (reply.status == StateStatus::Invalid) refused();
     pump_after(c::kRetryPause);
--- a/src/leader/store_writer.h
+++ b/src/leader/store_writer.h
@@ -28,7 +28,7 @@
 
  private:
   void write_shards(std::vector<ShardWrite> batch);
-  void read_stamp(const ShardWrite& write);
+  void read_back(const ShardWrite& write);
   void has_end(const std::string& job);
   void finalize(const std::string& job);
   void reread(const std::string& job);
--- a/src/proofs/proof_queue.cc
+++ b/src/proofs/proof_queue.cc
@@ -134,6 +134,14 @@
   for (auto& q : look.questions) put(std::move(q), !look.compare);
 }
 
+void ProofQueue::lost(Look look) {
+  landed(look);
+  for (auto& q : look.questions) {
+    bool read = !look.compare || ++q.misses >= c::kQueryMisses;
+    put(std::move(q), read);
+  }
+}
+
 void ProofQueue::changed(Look look, const std::unordered_set<std::string>& jobs) {
   landed(look);
   for (auto& q : look.questions) {
--- a/src/proofs/proof_queue.h
+++ b/src/proofs/proof_queue.h
@@ -56,6 +56,8 @@
   void answered(const Look& look);
   /// The service would not execute it now.
   void put_back(Look look);
+  /// Its answer is lost: what it asked is in the next, or is read by itself after some misses.
+  void lost(Look look);
   /// Some of it had changed: these are read, the rest is compared again.
   void changed(Look look, const std::unordered_set<std::string>& jobs);
   /// It took too many conditions.
--- a/src/proofs/proofs.h
+++ b/src/proofs/proofs.h
@@ -48,6 +48,7 @@
   std::unordered_map<ProofQueue::Ticket, Done> asking_;
   ProofQueue::Ticket next_ = 1;
   double paused_until_ = -1e9;
+  double took_ = 0, patience_;  // s: looks of late, smoothed; until one counts as lost
   Timer timer_;
 };
 
--- a/src/store/state_client.cc
+++ b/src/store/state_client.cc
@@ -93,6 +93,10 @@
   auto body = codec::txn_to_wire(conditions, writes);
   send(requests_, "POST", codec::kTxnPath, &body, c::kStateTimeout, true, std::move(done));
 }
+void StateClient::compare(const std::vector<codec::Condition>& conditions, double timeout_s, Callback done) {
+  auto body = codec::txn_to_wire(conditions, {});
+  send(requests_, "POST", codec::kTxnPath, &body, timeout_s, true, std::move(done));
+}
 void StateClient::grant(double life_s, Callback done) {
   auto body = codec::grant_request(life_s);
   send(grants_, "POST", codec::kGrantPath, &body, c::kStateTimeout, true, std::move(done));
--- a/src/store/state_client.h
+++ b/src/store/state_client.h
@@ -51,6 +51,8 @@
                 std::function<void(codec::KeyValue&)> each, std::function<void(const ReadEnd&)> done);
   void txn(const std::vector<codec::Condition>& conditions, const std::vector<codec::Write>& writes,
            Callback done);
+  /// A transaction that only compares, and may take so long, s.
+  void compare(const std::vector<codec::Condition>& conditions, double timeout_s, Callback done);
   void grant(double life_s, Callback done);
   void renew(std::uint64_t grant, Callback done);
   void end_grant(std::uint64_t grant, Callback done);
