--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -56,13 +56,13 @@
 // --- questions about unfinished jobs ---
 inline constexpr double kQueryShare =
     0.5;  // of the state service's rate, of all controllers together: the rest is for what changes things
-inline constexpr double kQueryBurst = 0.5;    // s of that share that may come at once
-inline constexpr double kQueryTime = 1.2;     // s a question may wait; its user waits 2 s in all
+inline constexpr double kQueryBurst = 0.5;  // s of that share that may come at once
+inline constexpr double kQueryTime = 1.2;   // s a question may wait; its user waits 2 s in all
 inline constexpr double kLookPatience =
     0.3;  // s until a look's answer counts as lost and its jobs are in the next one; answers take 10 ms
 inline constexpr double kLookPatienceTimes = 4;  // as long as looks have taken of late, where that is more
 inline constexpr double kLookSmoothing = 0.3;    // weight of the newest look in that
-inline constexpr int kQueryReads = 4;         // jobs read at the same time
+inline constexpr int kQueryReads = 4;            // jobs read at the same time
 inline constexpr int kQueryMisses = 3;        // comparisons that proved nothing until a job is read by itself
 inline constexpr double kQueryStep = 0.002;   // s at least between looks at what waits; timers are no finer
 inline constexpr int kMostConditions = 200;   // in one transaction; with the longest names 48 of its 64 KiB
@@ -129,6 +129,13 @@
 inline constexpr double kHeldPatience =
     45.0;  // s that a job waits while room under its team's limit is kept for more urgent work: the operators
            // count one as left waiting after 90 s, and it still has to be placed
+// The operators' mark: half of a class's largest jobs begin within four minutes, whatever flows past them.
+inline constexpr double kBeginWithin = 240.0;  // s
+inline constexpr double kBeginShare =
+    0.5;  // of it, after which an array of which nothing has begun goes first
+inline constexpr int kBeginTasks =
+    20;  // that it has at least: its first task is then a twentieth of it at most, so that
+         // a flood of small ones is still served one after the other
 inline constexpr double kFreeingWindow =
     10.0;  // s over which the rate is taken at which a zone's places become free
 inline constexpr double kGatherPatience =
--- a/src/book/cluster.h
+++ b/src/book/cluster.h
@@ -329,6 +329,8 @@
     bool due = false;    // most of its time is over
     double at = kNever;  // when it will be missed
   };
+  /// A large array or service of which nothing has begun though it has waited for long.
+  bool overdue(const Job& job, double now) const;
   StartAim start_aim(const Job& job, double now) const;
   int place_tasks(Job& job, int budget, double now);
   bool make_room(Job& job, double now);
--- a/src/book/cluster_placement.cc
+++ b/src/book/cluster_placement.cc
@@ -149,6 +149,11 @@
   if (missing <= rate * c::kGatherPatience) gathering_[best] = spec.id;
 }
 
+bool Cluster::overdue(const Job& job, double now) const {
+  return job.spec.kind != JobKind::Gang && job.spec.tasks >= c::kBeginTasks && job.active.empty() &&
+         job.done == 0 && now - job.ready_at > c::kBeginShare * c::kBeginWithin;
+}
+
 Cluster::StartAim Cluster::start_aim(const Job& job, double now) const {
   StartAim out;
   auto aims = config_.start_within.find(job.spec.job_class);
@@ -483,6 +488,7 @@
   struct Bid {
     double weight;
     StartAim aim;
+    bool overdue;  // of an array that has waited long nothing has begun
     bool late;
     double left;
     Job* job;
@@ -492,7 +498,8 @@
     ++steps_;
     if (now < job->not_before) continue;
     bool is_late = late(*job, now);
-    order.push_back({weight(*job), start_aim(*job, now), is_late, is_late ? 0 : left(*job), job});
+    order.push_back(
+        {weight(*job), start_aim(*job, now), overdue(*job, now), is_late, is_late ? 0 : left(*job), job});
   }
   // The highest priority times size wins a machine: bids are settled in that order. Of equals, first those
   // that are about to miss a start aim, the earliest first; then those that have missed the fewest and can
@@ -502,6 +509,8 @@
     if (a.weight != b.weight) return a.weight > b.weight;
     if (a.aim.due != b.aim.due) return a.aim.due;
     if (a.aim.due && a.aim.at != b.aim.at) return a.aim.at < b.aim.at;
+    if (a.overdue != b.overdue) return a.overdue;
+    if (a.overdue) return a.job->ready_at < b.job->ready_at;
     return std::tie(a.aim.missed, a.late, a.left, a.job->order) <
            std::tie(b.aim.missed, b.late, b.left, b.job->order);
   });
@@ -531,8 +540,8 @@
       break;
     }
     const JobSpec& spec = job->spec;
-    // Guards against work that waits for ever under its team's limit: what is more urgent may never fit in what
-    // is left, or may follow without end. It can still stop what is less urgent.
+    // Guards against work that waits for ever under its team's limit: what is more urgent may never fit in
+    // what is left, or may follow without end. It can still stop what is less urgent.
     const bool patient = now - job->ready_at < c::kHeldPatience;
     if (auto h = held.find(spec.team); patient && h != held.end() && job->priority < h->second) {
       job->why = "waiting: room under the team's limit is kept for more urgent work";
@@ -545,7 +554,7 @@
     else if (gang && bid.aim.due)
       gather(*job, now);
     else if (!gang)
-      budget -= place_tasks(*job, budget, now);
+      budget -= place_tasks(*job, bid.overdue ? 1 : budget, now);
     // A guarantee is claimed once waiting alone would miss its aim; one claim a pass bounds the pass's time.
     if (job->queued > 0 && job->promise == Job::Promise::Given && !claimed &&
         now - job->ready_at >= c::kClaimAfter * config_.guarantee_within &&
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -216,5 +216,39 @@
   EXPECT_EQ(w.cluster->job("run-small")->active.size(), 1u);
 }
 
+// The operators' mark: half of a class's largest jobs begin within four minutes. Of equals the one with the least
+// left goes first, so the largest would wait as long as smaller ones come; the first task of each does not.
+TEST(Placement, OfALargeArrayThatHasWaitedForLongOneTaskGoesBeforeSmallerOnes) {
+  ClusterConfig config;
+  config.zones = {"a"}, config.teams = {{"x", 0, 0, 0, 0}};
+  Cluster cluster(config, 1, 0, 1);
+  cluster.set_catalog({{"plain", {16, 0, 64}, 50, 1, 1, 1, 10, {"a"}}});
+  auto hear = [&](int n, std::uint64_t seq, double now) {
+    for (int i = 0; i < n; ++i) {
+      Report r;
+      r.machine = "n-" + std::to_string(i), r.address = "x", r.type = "plain", r.zone = "a", r.session = 1;
+      r.seq = seq, r.token = cluster.machine(r.machine) ? cluster.machine(r.machine)->token : 0;
+      cluster.on_report(r, Cluster::Channel::Report, now);
+    }
+  };
+  auto put = [&](const std::string& id, int tasks, double now, std::uint64_t stamp) {
+    JobSpec s;
+    s.id = id, s.team = "x", s.image = "i", s.tasks = tasks, s.need = {16, 0, 1}, s.estimate_s = 10;
+    cluster.put_job(s, stamp, false, now);
+  };
+  put("run-large", 50, 0, 1);
+  for (int i = 0; i < 9; ++i) put("run-small-" + std::to_string(i), 2, 100, static_cast<std::uint64_t>(i + 2));
+  hear(4, 1, 100), hear(4, 2, 100);
+  cluster.plan(100);
+  EXPECT_EQ(cluster.job("run-large")->active.size(), 0u);
+  hear(6, 3, 121), hear(6, 4, 121);
+  cluster.plan(121);
+  // One task of it, and the rest of the room for those with less left.
+  EXPECT_EQ(cluster.job("run-large")->active.size(), 1u);
+  std::size_t small = 0;
+  for (const auto& [id, job] : cluster.jobs()) small += id != "run-large" ? job.active.size() : 0;
+  EXPECT_EQ(small, 5u);
+}
+
 }  // namespace
 }  // namespace corkmux
--- a/tests/proofs_test.cc
+++ b/tests/proofs_test.cc
@@ -103,6 +103,8 @@
         settle(queue.unanswered(f.look), std::nullopt, false);
       } else if (luck == 1) {
         f.look.compare ? queue.too_large(std::move(f.look)) : queue.put_back(std::move(f.look));
+      } else if (luck == 2) {
+        queue.lost(std::move(f.look));
       } else if (!f.look.compare) {
         const auto& q = f.look.questions.front();
         queue.answered(f.look);
@@ -155,6 +157,30 @@
   EXPECT_LT(longest, c::kQueryTime);
 }
 
+// Guards against `forgotten`: a look whose answer is lost neither keeps the others waiting nor gives its own up, and
+// where all comparisons are lost the jobs are read.
+TEST(ProofQueue, WhatALostLookAskedIsInTheNextAndAtLastReadByItself) {
+  ProofQueue queue(100, 4, 1000);
+  queue.learn("run-1", 1), queue.learn("run-2", 2);
+  queue.ask(1, "run-1", 0), queue.ask(2, "run-2", 0);
+  double now = 0;
+  for (int miss = 0; miss < c::kQueryMisses; ++miss, now += 0.1) {
+    auto look = queue.next(now);
+    ASSERT_TRUE(look && look->compare) << miss;
+    EXPECT_EQ(look->questions.size(), 2u);
+    EXPECT_FALSE(queue.next(now));  // one at a time
+    queue.lost(std::move(*look));
+  }
+  std::set<std::string> read;
+  for (int i = 0; i < 2; ++i) {
+    auto look = queue.next(now);
+    ASSERT_TRUE(look && !look->compare);
+    read.insert(look->questions.front().job);
+    queue.answered(*look);
+  }
+  EXPECT_EQ(read, (std::set<std::string>{"run-1", "run-2"}));
+}
+
 // 'forgotten': every poll for a job fails for 90 s while most others are answered.
 TEST(ProofQueue, NoJobGoesWithoutAnAnswerAgainAndAgain) {
   ProofQueue queue(2, 4, 1000);  // far too little for what is asked
