--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -127,7 +127,7 @@
 // Gangs that become due gather their places.
 inline constexpr double kDueShare = 0.8;  // of the time to its last start aim, after which a job is due
 inline constexpr double kHeldPatience =
-    45.0;  // s that a job waits while room under its team's limit is kept for more urgent work: the operators
+    75.0;  // s that a job waits while room under its team's limit is kept for more urgent work: the operators
            // count one as left waiting after 90 s, and it still has to be placed
 // The operators' mark: half of a class's largest jobs begin within four minutes, whatever flows past them.
 inline constexpr double kBeginWithin = 240.0;  // s
--- a/src/book/cluster.cc
+++ b/src/book/cluster.cc
@@ -246,9 +246,9 @@
     return;
   }
   finish(index);
-  // PROTOCOL "Gangs": they complete together. Guards against quota that is taken for free: that a mate is done
-  // does not say that it has left a machine which hangs or cannot be reached. So each counts as done, and its
-  // place as empty, by its own report or another proof that it is gone.
+  // PROTOCOL "Gangs": they complete together. Guards against quota that is taken for free: that a mate is
+  // done does not say that it has left a machine which hangs or cannot be reached. So each counts as done,
+  // and its place as empty, by its own report or another proof that it is gone.
   const bool all = planted("a gang that is done has left all machines");
   for (int i = 0; complete(job) && i < job.spec.tasks; ++i)
     if (all || job.phase[i] == TaskPhase::Queued) finish(i);
--- a/src/book/cluster_placement.cc
+++ b/src/book/cluster_placement.cc
@@ -541,9 +541,10 @@
     }
     const JobSpec& spec = job->spec;
     // Guards against work that waits for ever under its team's limit: what is more urgent may never fit in
-    // what is left, or may follow without end. It can still stop what is less urgent.
-    const bool patient = now - job->ready_at < c::kHeldPatience;
-    if (auto h = held.find(spec.team); patient && h != held.end() && job->priority < h->second) {
+    // what is left, or may follow without end, and can stop it all the same. One task at a time goes on.
+    const auto h = held.find(spec.team);
+    const bool behind = h != held.end() && job->priority < h->second;
+    if (behind && (now - job->ready_at < c::kHeldPatience || !job->active.empty())) {
       job->why = "waiting: room under the team's limit is kept for more urgent work";
       continue;
     }
@@ -554,7 +555,7 @@
     else if (gang && bid.aim.due)
       gather(*job, now);
     else if (!gang)
-      budget -= place_tasks(*job, bid.overdue ? 1 : budget, now);
+      budget -= place_tasks(*job, bid.overdue || behind ? 1 : budget, now);
     // A guarantee is claimed once waiting alone would miss its aim; one claim a pass bounds the pass's time.
     if (job->queued > 0 && job->promise == Job::Promise::Given && !claimed &&
         now - job->ready_at >= c::kClaimAfter * config_.guarantee_within &&
--- a/src/leader/store_writer.cc
+++ b/src/leader/store_writer.cc
@@ -98,7 +98,9 @@
       // This write or an earlier one of ours, taken for lost, may have been applied after all: what stands
       // there is read before it is written again, so that whichever of the two comes last fails.
       auto failed = codec::parse_failed(reply.body);
-      auto differs = [&](const std::string& key) { return std::count(failed.begin(), failed.end(), key) > 0; };
+      auto differs = [&](const std::string& key) {
+        return std::count(failed.begin(), failed.end(), key) > 0;
+      };
       for (const auto& w : batch)
         if (reply.status == StateStatus::Unanswered || differs(w.key))
           read_back(w);
--- a/src/proofs/proofs.cc
+++ b/src/proofs/proofs.cc
@@ -76,8 +76,8 @@
     conditions.push_back({kJobs + look.questions[i].job, look.stamps[i]});
     conditions.push_back({kFinals + look.questions[i].job, 0});
   }
-  // Guards against one lost answer that keeps all questions waiting: nothing was written, so the next look may
-  // ask the same.
+  // Guards against one lost answer that keeps all questions waiting: nothing was written, so the next look
+  // may ask the same.
   state_.compare(conditions, patience_, [this, look = std::move(look)](StateReply reply) mutable {
     double took = steady_now() - reply.sent_at;
     // Guards against a process that stood still meanwhile: what was so then is not told now.
--- a/src/world/checker.h
+++ b/src/world/checker.h
@@ -57,7 +57,7 @@
   struct Share {
     int submitted = 0, accepted = 0, refused = 0, given_up = 0, started = 0, cancelled = 0, done = 0;
     std::vector<double> waits;  // s from the first try to submit to the first running task
-    /// Of its largest jobs that were not cancelled: how many there are, begun in time, done.
+    /// Of its largest jobs that were accepted and not cancelled: how many there are, begun in time, done.
     int largest = 0, largest_begun = 0, largest_done = 0;
     /// Of the jobs that were not cancelled.
     double served() const { return submitted > cancelled ? double(done) / (submitted - cancelled) : 1; }
--- a/src/world/world.h
+++ b/src/world/world.h
@@ -40,8 +40,8 @@
   std::string account_text() const;
   /// How often it came to what a test wants to have happened.
   struct Met {
-    int called_off = 0;         // jobs called off at once, and of these
-    int called_off_stuck = 0;   // with a task on a machine that is cut off or hangs,
+    int called_off = 0;          // jobs called off at once, and of these
+    int called_off_stuck = 0;    // with a task on a machine that is cut off or hangs,
     int called_off_at_most = 0;  // and their team within a twentieth of a limit
     int young_starts = 0;        // starts on machines up for less than 3 s while writes lagged
     std::size_t copies = 0;      // reports that reached all controllers as a new leader began
--- a/src/world/world_constants.h
+++ b/src/world/world_constants.h
@@ -60,10 +60,10 @@
 inline constexpr double kSilentInCalm = 75;  // s, once all troubles are over, however others fare
 
 // --- checker ---
-inline constexpr double kLook = 0.25;      // s between looks whether work that fits waits
-inline constexpr double kLookNext = 0.01;  // s between looks for a new leader while reports are kept for it
-inline constexpr double kLeftWaiting = 90;     // s that a job may wait in calm though a machine has room
-inline constexpr int kLargestCounted = 4;      // jobs of a class at least, for a share of them to say anything
-inline constexpr double kLargestBegin = 240;   // s within which half of a class's largest jobs begin
+inline constexpr double kLook = 0.25;       // s between looks whether work that fits waits
+inline constexpr double kLookNext = 0.01;   // s between looks for a new leader while reports are kept for it
+inline constexpr double kLeftWaiting = 90;  // s that a job may wait in calm though a machine has room
+inline constexpr int kLargestCounted = 4;   // jobs of a class at least, for a share of them to say anything
+inline constexpr double kLargestBegin = 240;  // s within which half of a class's largest jobs begin
 
 }  // namespace corkmux::world
--- a/tests/proofs_test.cc
+++ b/tests/proofs_test.cc
@@ -157,8 +157,8 @@
   EXPECT_LT(longest, c::kQueryTime);
 }
 
-// Guards against `forgotten`: a look whose answer is lost neither keeps the others waiting nor gives its own up, and
-// where all comparisons are lost the jobs are read.
+// Guards against `forgotten`: a look whose answer is lost neither keeps the others waiting nor gives its own
+// up, and where all comparisons are lost the jobs are read.
 TEST(ProofQueue, WhatALostLookAskedIsInTheNextAndAtLastReadByItself) {
   ProofQueue queue(100, 4, 1000);
   queue.learn("run-1", 1), queue.learn("run-2", 2);
--- a/tests/write_ahead_test.cc
+++ b/tests/write_ahead_test.cc
@@ -133,8 +133,8 @@
   EXPECT_EQ(attempts.size(), 3u);
 }
 
-// Guards against `quota`: that one task of a gang is done says that all are, but not that they have left their
-// machines; one may hang or be cut off. A new leader knows it as well.
+// Guards against `quota`: that one task of a gang is done says that all are, but not that they have left
+// their machines; one may hang or be cut off. A new leader knows it as well.
 TEST_F(WriteAhead, APlaceOfAGangThatIsDoneIsEmptyOnlyOnProof) {
   join("n-1"), join("n-2");
   auto s = spec(2, JobKind::Gang);
