Workers are served by all controllers, their reports reach the leader in batches

Beyond half of its sockets the leader names the other controllers as servers (rendezvous hashing, zones first); they gather reports, pass on what changed, and take the leader's orders to workers. No lease is renewed without the leader's answer, an unanswered batch counts as unanswered for each worker in it. Smaller fleets are served as before. The troubles of worlds stand in a file of their own, with late and repeated batches; visitors are forgotten by time instead of beyond 4,096.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -209,14 +209,20 @@
 inline constexpr std::size_t kFinalCache = 4000;     // finished jobs remembered (about 100 bytes each)
 inline constexpr std::size_t kSummaryCache = 4000;   // job summaries kept by followers
 inline constexpr std::size_t kReturnedNames = 2000;  // returned machines remembered; lists lag by seconds
+inline constexpr double kParkedMemory = 0.03;        // of our memory for reports that wait for a load
+inline constexpr double kParkedBytes = 1000;         // of memory for one of them, with some tasks
 inline constexpr int kMaxTasks = 100000;             // PROTOCOL
 inline constexpr std::size_t kMaxText = 200;         // bytes of any name we accept; a state key's limit
 inline constexpr int kMaxDepth = 32;          // levels of a MessagePack body; PROTOCOL's deepest has about 6
 inline constexpr std::size_t kMaxTypes = 64;  // machine types a job may name
 
 // --- peers ---
-inline constexpr double kPeerTick = 1.0;          // s between summaries
-inline constexpr double kPeerTimeout = 1.0;       // s
+inline constexpr double kPeerTick = 1.0;     // s between summaries
+inline constexpr double kPeerTimeout = 1.0;  // s
+inline constexpr std::size_t kPeerConnections =
+    256;                                        // a controller takes; each of twenty others opens some six
+inline constexpr double kRefusedTold = 10;      // s between lines of the log about messages that are refused
+inline constexpr std::size_t kBatchQueue = 64;  // batches that wait for one peer's connections
 inline constexpr std::size_t kToldCancels = 500;  // in one list to a peer of a former version; about 6 KB
 // Cancels of the last cancel_s. Each took two changes of the state service, so 20 changes a second and 57 s
 // make some 600, 180 and 52 s some 4,700; as many again may have been asked about, whenever they were
@@ -228,6 +234,38 @@
 inline constexpr double kSettledRead = 1.0;   // s between looks at that record, while no peer has said it
 inline constexpr double kRelayTimeout = 2.5;  // s; the worker waits 4 s
 inline constexpr double kPeerLost = 3.0;      // s without an answer: reports are not relayed there
+// --- workers served by all controllers ---
+/// Sockets the leader holds a worker it serves itself: one for its reports, one for its orders.
+inline constexpr int kSocketsPerWorker = 2;
+/// Of the leader's sockets: with more than the first share needed for workers all controllers serve them,
+/// below the second the leader alone does. Between them nothing changes, so a fleet that breathes moves
+/// nobody.
+inline constexpr double kShareAbove = 0.5, kServeAloneBelow = 0.35;
+inline constexpr double kGatherNews = 0.01;       // s that news and outcomes wait for company on their way
+inline constexpr double kGatherUnchanged = 0.15;  // s for reports without news; their workers wait 4 s
+inline constexpr int kBatchesInFlight = 2;        // to the leader; one more than it needs to be kept busy
+inline constexpr std::size_t kBatchBytes = 48 * 1024;     // of one batch; a request may have 64 KiB
+inline constexpr std::size_t kForwardBytes = 4 << 20;     // of reports that wait for the leader, all together
+inline constexpr std::size_t kDeliveriesInFlight = 4000;  // orders on their way to workers
+inline constexpr double kRelayedOrdersSlack =
+    1;                                         // s beyond kOrdersTimeout until their outcome is not awaited
+inline constexpr double kForwardTime = 2.5;    // s a report waits for a leader that takes it; its worker 4 s
+inline constexpr double kForwardSweep = 0.25;  // s between looks at what has waited too long
+inline constexpr double kConfirmedTime = 120;  // s a report that did not change is remembered
+inline constexpr double kOrderConnectionScarce = 5;  // s an order connection idles when there are many
+/// Of a controller's sockets that connections for orders may take while they idle.
+inline constexpr double kOrderConnectionShare = 0.25;
+inline constexpr double kServedShare = 0.35;  // of a controller's sockets for workers' reports
+/// Workers that a controller sends to another one for balance, a second: so many at least, or that share of
+/// those it serves.
+inline constexpr double kMovesPerSecond = 40, kMovesShare = 0.05;
+inline constexpr double kForgetEvery = 10;  // s between looks at what is remembered of machines that are gone
+inline constexpr double kServingSettles =
+    2.5;  // s until all controllers have heard who serves; they greet each 1 s
+inline constexpr double kVisitorsSweep = 5;   // s between looks at workers that came once
+inline constexpr double kVisitorsTime = 120;  // s a worker that came is remembered
+inline constexpr double kServingTick = 0.5;   // s between looks at who serves
+
 // --- mail through the state service ---
 inline constexpr double kMailShare =
     0.1;  // of write_rps that one box may take; two or three are in use at a time
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -76,6 +76,7 @@
   TaskReportState state = TaskReportState::Fetching;
   ExitReason why = ExitReason::None;
   bool saved = false;
+  bool operator==(const TaskReport&) const = default;
 };
 
 struct Report {
@@ -84,6 +85,7 @@
   std::uint64_t session = 0, seq = 0, token = 0;
   std::optional<double> notice_s;
   std::vector<TaskReport> tasks;
+  bool operator==(const Report&) const = default;
 };
 
 struct Command {
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -3,6 +3,9 @@
 #include <memory>
 
 #include "gateway.h"
+#include "order_delivery.h"
+#include "report_forwarder.h"
+#include "serving_coordinator.h"
 
 namespace corkmux {
 
@@ -20,6 +23,12 @@
 
  private:
   void settle(double since, std::function<void()> done);
+  Leader::Hooks leader_hooks();
+  Peers::Hooks peer_hooks();
+  void leader_changed(const std::string& label, std::uint64_t term);
+  /// A batch for whoever leads, ourselves included.
+  void post_reports(const std::string& label, std::string body, std::function<void(http::Result)> done);
+  Settings settings_;
   std::string own_label_;
   bool alone_;  // no other controller is named in the settings
   StateClient state_;
@@ -30,7 +39,10 @@
   Peers peers_;
   Keeper keeper_;
   Mail mail_;
+  serving::ReportForwarder forwarder_;
+  serving::OrderDelivery delivery_;
   Gateway gateway_;
+  ServingCoordinator coordinator_;
   Timer stop_timer_;
   bool resigned_ = false;
 };
--- a/src/controller/gateway.h
+++ b/src/controller/gateway.h
@@ -5,24 +5,28 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "assignment.h"
 #include "catalog.h"
 #include "keeper.h"
 #include "leader.h"
 #include "mail.h"
 #include "peers.h"
 #include "proofs.h"
+#include "report_forwarder.h"
 
 namespace corkmux {
 
 class Gateway : public Actor<Gateway> {
  public:
   Gateway(Loop& loop, const Settings& settings, StateClient& state, Catalog& catalog, Leader& leader,
-          Peers& peers, Keeper& keeper, Mail& mail);
+          Peers& peers, Keeper& keeper, Mail& mail, serving::ReportForwarder& forwarder);
   void leader_changed(const std::string& label) {
     // What was learnt of the former leader's reach says nothing of the next one's.
     if (label != leader_label_) visitors_.clear();
     leader_label_ = label;
   }
+  /// Who serves workers from now on; empty: the leader alone.
+  void serving_changed(serving::Assignment assignment) { assignment_ = std::move(assignment); }
   void view(const codec::JobView& view);
   /// A report that a peer passed on because its worker could not reach us.
   void relayed(const std::string& body, std::function<void(int, std::string)> reply, Leader::Way way);
@@ -79,7 +83,20 @@
   /// Whether a job that awaits others may be called unfinished, by what was known when it was asked about.
   bool settled(double known_at);
   void cancel(Id id, const std::string& job, int tries, bool beside = false);
+  using PassReply = std::function<void(int status, std::string body)>;
+  /// What this controller remembers of a worker that has come to it.
+  struct Visitor {
+    double redirected_at = -1e9, relay_until = -1e9, seen_at = -1e9, served_at = -1e9;  // s, steady clock
+  };
   void report(Id id, const std::string& body);
+  /// Where a worker should report instead; empty: here.
+  std::string better_place(const Report& report, Visitor& visitor);
+  bool may_move(const Visitor& visitor);
+  void redirect(const std::string& label, Visitor& visitor, const PassReply& pass);
+  /// By a batch where the leader takes them, else by one of the ways that remain.
+  void report_to_leader(Report report, const std::string& body, bool stranger, PassReply pass);
+  void forward(Report report, const std::string& body, PassReply reply);
+  void forget_visitors();
   void remember_final(const std::string& job, const std::string& phase, int tasks);
 
   Settings settings_;
@@ -100,10 +117,12 @@
   std::unordered_set<std::string> accepted_;  // jobs read in the store before: accepted for good
   std::unordered_map<std::string, codec::JobView> views_;
   std::deque<std::string> view_order_;
-  struct Visitor {
-    double redirected_at = -1e9, relay_until = -1e9, seen_at = -1e9;
-  };
   std::unordered_map<std::string, Visitor> visitors_;
+  serving::Assignment assignment_;
+  serving::ReportForwarder& forwarder_;
+  double moves_left_ = 0, moves_at_ = 0;  // workers that may be sent elsewhere for balance, as of then
+  int served_here_ = 0;                   // workers served lately, counted every so often
+  Timer forget_timer_;
   http::Server server_;
 };
 
--- a/src/controller/peers.cc
+++ b/src/controller/peers.cc
@@ -30,6 +30,9 @@
     return it->is_number() && std::isfinite(it->template get<T>()) ? it->template get<T>() : otherwise;
 }
 
+constexpr const char* kReportsPath = "/peer/reports";
+constexpr const char* kOrdersPath = "/peer/orders";
+
 bool is_view(const Json& j) {
   return j.is_array() && j.size() == 5 && j[0].is_string() && j[1].is_string() && j[2].is_number_integer() &&
          j[3].is_number_integer() && j[4].is_string();
@@ -45,11 +48,13 @@
       most_cancels_(std::max(c::kToldCancels, static_cast<std::size_t>(settings.mem_mb * 1024 * 1024 *
                                                                        c::kCancelMemory / c::kCancelBytes))),
       hooks_(std::move(hooks)),
-      server_(loop, settings.peer_listen, 64,
+      server_(loop, settings.peer_listen, c::kPeerConnections,
               [this](http::Server::ConnectionId id, http::Request r) { serve(id, std::move(r)); }),
       timer_(loop) {
-  for (const auto& p : settings.peers)
+  for (const auto& p : settings.peers) {
     peers_[p.label].client = std::make_unique<http::Client>(loop, p.address, 4, 64);
+    peers_[p.label].batches = std::make_unique<http::Client>(loop, p.address, 4, c::kBatchQueue);
+  }
 }
 
 void Peers::start() {
@@ -103,11 +108,10 @@
 double Peers::settled_at() const { return std::max(settled_heard_, hooks_.settled_at()); }
 
 Json Peers::greeting() const {
-  Json out = {{"label", label_},
-              {"boot", boot_},
-              {"state_age", hooks_.state_age()},
-              {"leader", leader_},
-              {"term", term_}};
+  Json out = {{"label", label_},   {"boot", boot_}, {"state_age", hooks_.state_age()},
+              {"leader", leader_}, {"term", term_}, {"serves", true}};
+  if (serving_.term)
+    out["serving"] = {{"term", serving_.term}, {"number", serving_.number}, {"labels", serving_.labels}};
   // As an age, since clocks differ: whoever asked counts it from when it asked.
   if (settled_at() > 0) out["settled_age"] = steady_now() - settled_at();
   return out;
@@ -183,6 +187,8 @@
     any_heard_at_ = steady_now();
     it->second.state_at =
         std::max(it->second.state_at, steady_now() - std::max(0.0, field<double>(body, "state_age", 1e9)));
+    it->second.serves = field<bool>(body, "serves", false);
+    learn_serving(body);
   }
   auto term = field<std::uint64_t>(body, "term", 0);
   if (term > term_) hooks_.newer_term(term);
@@ -233,25 +239,116 @@
                              [reply = std::move(reply)](http::Result r) { reply(r.status, r.body); });
 }
 
+// ---------------------------------------------------------------- who serves workers
+
+void Peers::announce_serving(std::vector<std::string> labels) {
+  if (serving_.term == term_ && serving_.labels == labels) return;
+  serving_ = {term_, serving_.term == term_ ? serving_.number + 1 : 1, std::move(labels)};
+  hooks_.serving_changed(serving_.labels);
+}
+
+/// Told on by whoever has heard it, so that a controller that has lost only the leader learns it too.
+void Peers::learn_serving(const Json& body) {
+  auto said = body.find("serving");
+  if (said == body.end() || !said->is_object()) return;
+  Serving news{field<std::uint64_t>(*said, "term", 0), field<std::uint64_t>(*said, "number", 0), {}};
+  if (std::pair(news.term, news.number) <= std::pair(serving_.term, serving_.number)) return;
+  auto labels = said->find("labels");
+  if (labels == said->end() || !labels->is_array()) return;
+  for (const auto& label : *labels) {
+    if (!label.is_string()) return;
+    auto name = label.get<std::string>();
+    if (name == label_ || peers_.count(name)) news.labels.push_back(std::move(name));
+  }
+  serving_ = std::move(news);
+  hooks_.serving_changed(serving_.labels);
+}
+
+std::vector<std::string> Peers::able_to_serve() const {
+  std::vector<std::string> out;
+  double now = steady_now();
+  for (const auto& [label, peer] : peers_)
+    if (peer.serves && now - peer.heard_at < c::kPeerLost && now - peer.state_at < c::kStateSilent)
+      out.push_back(label);
+  return out;
+}
+
+void Peers::post(const std::string& label, const char* path, std::string body, double timeout_s,
+                 std::function<void(http::Result)> done) {
+  auto it = peers_.find(label);
+  if (it == peers_.end()) return done({0, "", false, "no such controller"});
+  it->second.batches->request("POST", path, std::move(body), timeout_s, std::move(done));
+}
+
+void Peers::post_reports(const std::string& label, std::string body, std::function<void(http::Result)> done) {
+  post(label, kReportsPath, std::move(body), c::kRelayTimeout, std::move(done));
+}
+
+void Peers::post_orders(const std::string& label, std::string body, std::function<void(http::Result)> done) {
+  post(label, kOrdersPath, std::move(body), c::kPeerTimeout, std::move(done));
+}
+
+// ---------------------------------------------------------------- what peers ask
+
 void Peers::serve(http::Server::ConnectionId id, http::Request request) {
-  if (request.method == "POST" && request.target == "/peer/sync") {
+  if (request.method != "POST") return server_.respond(id, {404, "", 0, false});
+  if (request.target == "/peer/sync") {
     auto body = codec::unpack(request.body);
     if (!body || !body->is_object()) return server_.respond(id, {400, "", 0, false});
-    heard(*body);
-    if (auto jobs = body->find("jobs"); jobs != body->end() && jobs->is_array())
-      for (const auto& j : *jobs)
-        if (is_view(j))
-          hooks_.view({j[0].get<std::string>(), j[1].get<std::string>(), j[2].get<int>(), j[3].get<int>(),
-                       j[4].get<std::string>()});
-    Json answer = greeting();
-    tell_cancels(*body, answer);
-    return server_.respond(id, {200, codec::pack(answer), 0, false});
+    return serve_sync(id, *body);
   }
-  if (request.method == "POST" && request.target == "/peer/report")
+  if (request.target == "/peer/report")
     return hooks_.report(std::move(request.body), [this, id](int status, std::string body) {
       server_.respond(id, {status, std::move(body), 0, false});
     });
+  if (request.target == kReportsPath) return serve_reports(id, request.body);
+  if (request.target == kOrdersPath) return serve_orders(id, request.body);
   server_.respond(id, {404, "", 0, false});
 }
 
+void Peers::serve_sync(http::Server::ConnectionId id, const Json& body) {
+  heard(body);
+  if (auto jobs = body.find("jobs"); jobs != body.end() && jobs->is_array())
+    for (const auto& j : *jobs)
+      if (is_view(j))
+        hooks_.view({j[0].get<std::string>(), j[1].get<std::string>(), j[2].get<int>(), j[3].get<int>(),
+                     j[4].get<std::string>()});
+  Json answer = greeting();
+  tell_cancels(body, answer);
+  server_.respond(id, {200, codec::pack(answer), 0, false});
+}
+
+/// A line now and then, whoever sends what should not come.
+void Peers::refuse(http::Server::ConnectionId id, const std::string& from, const char* why) {
+  if (steady_now() - refused_told_at_ > c::kRefusedTold) {
+    refused_told_at_ = steady_now();
+    spdlog::warn("a message of {} is refused: {}", from.empty() ? "nobody we know" : from, why);
+  }
+  server_.respond(id, {400, "", 0, false});
+}
+
+void Peers::serve_reports(http::Server::ConnectionId id, const std::string& body) {
+  auto parsed = serving::parse_reports(body);
+  if (!parsed) return refuse(id, "", "not a batch of reports");
+  auto& batch = parsed->message;
+  if (!peers_.count(batch.from)) return refuse(id, "", "a batch of reports");
+  if (parsed->malformed)
+    spdlog::warn("{} of the entries in a batch of {} are malformed: passed over", parsed->malformed,
+                 batch.from);
+  if (leader_ != label_) return server_.respond(id, {503, "", 0, false});
+  hooks_.reports(std::move(batch), [this, id](int status, std::string answer) {
+    server_.respond(id, {status, std::move(answer), 0, false});
+  });
+}
+
+void Peers::serve_orders(http::Server::ConnectionId id, const std::string& body) {
+  auto parsed = serving::parse_orders(body);
+  if (!parsed) return refuse(id, "", "not a batch of orders");
+  if (!peers_.count(parsed->message.from)) return refuse(id, "", "a batch of orders");
+  if (parsed->malformed)
+    spdlog::warn("{} of the entries in orders of {} are malformed: passed over", parsed->malformed,
+                 parsed->message.from);
+  server_.respond(id, {hooks_.orders(parsed->message) ? 200 : 503, "", 0, false});
+}
+
 }  // namespace corkmux
--- a/src/controller/peers.h
+++ b/src/controller/peers.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "batches.h"
 #include "codec.h"
 #include "http.h"
 #include "settings.h"
@@ -26,6 +27,12 @@
     /// first seen at `youngest`.
     std::function<void(double asked_at, double youngest)> all_heard;
     std::function<double()> settled_at;  // Leader::settled_at() of our own terms
+    /// A batch of a serving controller, for a leader.
+    std::function<void(serving::ReportBatch, std::function<void(int, std::string)>)> reports;
+    /// Orders of the leader for workers that we serve; false: nothing of them was or will be sent.
+    std::function<bool(const serving::OrderBatch&)> orders;
+    /// Which controllers serve workers, by the newest word of a leader; none: the leader alone does.
+    std::function<void(const std::vector<std::string>& labels)> serving_changed;
   };
   Peers(Loop& loop, const Settings& settings, Hooks hooks);
   void start();
@@ -33,6 +40,19 @@
   void publish(std::vector<codec::JobView> views);
   /// Status 0: the peer did not answer.
   void relay(const std::string& label, std::string body, std::function<void(int, std::string)> reply);
+  /// Batches and orders between a serving controller and the leader.
+  void post_reports(const std::string& label, std::string body, std::function<void(http::Result)> done);
+  void post_orders(const std::string& label, std::string body, std::function<void(http::Result)> done);
+  /// Says, as the leader, which controllers serve workers from now on.
+  void announce_serving(std::vector<std::string> labels);
+  const std::vector<std::string>& serving() const { return serving_.labels; }
+  /// Whether that peer is of a version that takes batches.
+  bool serves(const std::string& label) const {
+    auto it = peers_.find(label);
+    return it != peers_.end() && it->second.serves;
+  }
+  /// Peers that can serve workers: of a version that does, heard lately, with the state service.
+  std::vector<std::string> able_to_serve() const;
   /// A cancel this controller has accepted; peers are told until every effect of it must have shown.
   void accepted_cancel(const std::string& job);
   /// The latest that any controller has said of Leader::settled_at(), s of our steady clock.
@@ -57,9 +77,24 @@
     double missed_at = -1e9;  // when names of its cancels were last lost, there or here
     std::uint64_t told = 0;   // number of the last of its cancels that we have heard
     bool odd_told = false;    // the log has said that it sends what it should not
+    bool serves = false;      // its version can serve workers for a leader
+    /// Apart from `client`, so that batches never wait behind greetings nor the other way round.
+    std::unique_ptr<http::Client> batches;
     std::unordered_map<std::string, codec::JobView> outbox;
   };
+  /// The newest word of a leader on who serves workers.
+  struct Serving {
+    std::uint64_t term = 0, number = 0;  // number: counts the leader's changes
+    std::vector<std::string> labels;
+  };
   void serve(http::Server::ConnectionId id, http::Request request);
+  void serve_sync(http::Server::ConnectionId id, const codec::Json& body);
+  void serve_reports(http::Server::ConnectionId id, const std::string& body);
+  void serve_orders(http::Server::ConnectionId id, const std::string& body);
+  void refuse(http::Server::ConnectionId id, const std::string& from, const char* why);
+  void learn_serving(const codec::Json& body);
+  void post(const std::string& label, const char* path, std::string body, double timeout_s,
+            std::function<void(http::Result)> done);
   void sync(Peer& peer);
   codec::Json greeting() const;
   /// The cancels that an asker has not heard of yet; to one of a former version all, as far as it takes them.
@@ -87,6 +122,8 @@
   std::map<std::string, Peer> peers_;
   std::string leader_;
   std::uint64_t term_ = 0;
+  Serving serving_;
+  double refused_told_at_ = -1e9;  // when the log last said that a message was refused
   http::Server server_;
   Timer timer_;
 };
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -94,7 +94,7 @@
   r.writer =
       std::make_unique<StoreWriter>(loop_, settings_, state_, r.term, *r.book, *r.feed, r.hooks,
                                     r.term.guard([this](codec::JobView v) { hooks_.views({std::move(v)}); }));
-  r.orders = std::make_unique<WorkerOrders>(loop_, r.term, *r.book, r.hooks);
+  r.orders = std::make_unique<WorkerOrders>(loop_, settings_, r.term, *r.book, r.hooks, hooks_.relay);
   r.fleet = std::make_unique<CloudFleet>(
       loop_, settings_, choices_, cloud_, r.term, *r.book, r.hooks,
       r.term.guard([this](const std::string& machine) { reign_->orders->inspect(machine); }));
@@ -123,12 +123,15 @@
 }
 
 void Leader::answer_parked() {
-  if (!leading() || !resumed()) return;
+  if (!leading() || !resumed() || reign_->parked.empty()) return;
+  bool outermost = !std::exchange(in_batch_, true);
   for (auto& p : std::exchange(reign_->parked, {}))
     if (reign_)
-      handle_report(p.report, p.way, p.reply);
+      handle(p);
     else
       p.reply(503, "");
+  if (outermost) in_batch_ = false;
+  react();
 }
 
 void Leader::end(const char* why) {
@@ -204,40 +207,109 @@
   return std::max(std::min(r.term.contact, r.feed->seen_at()), r.vouched);
 }
 
-void Leader::report(Report r, Way way, ReportReply reply) {
-  if (!reign_) return reply(503, "");
-  if (leading() && resumed()) return handle_report(r, way, reply);
-  // Each holds a connection, and these are bounded: after all controllers ended, every worker comes at once.
-  if (reign_->parked.size() >= static_cast<std::size_t>(settings_.max_connections)) return reply(503, "");
-  reign_->parked.push_back({std::move(r), way, std::move(reply)});
+void Leader::report(Report r, Way way, ReportReply reply) { take({std::move(r), way, "", std::move(reply)}); }
+
+void Leader::take(Incoming incoming) {
+  if (!reign_) return incoming.reply(503, "");
+  if (leading() && resumed()) return handle(incoming);
+  // After all controllers ended every worker comes at once: what waits for the load is bounded.
+  auto most =
+      std::max(static_cast<std::size_t>(settings_.max_connections),
+               static_cast<std::size_t>(settings_.mem_mb * 1024 * 1024 * c::kParkedMemory / c::kParkedBytes));
+  if (reign_->parked.size() >= most) return incoming.reply(503, "");
+  reign_->parked.push_back(std::move(incoming));
 }
 
-void Leader::handle_report(const Report& r, Way way, const ReportReply& reply) {
+void Leader::handle(const Incoming& incoming) {
+  const Report& r = incoming.report;
   double now = steady_now();
   Cluster& book = *reign_->book;
   // Mail says nothing of whether workers reach us, see check_reach().
-  if (way == Way::Direct) reign_->last_report = now;
+  if (incoming.way == Way::Direct) reign_->last_report = now;
   // Without word from the state service we may have been replaced, and cancels go unseen: workers are kept
   // alive only as long as a cancel can still be met.
-  if (now - knows_cancels_at() > book.config().keepalive()) return reply(503, "");
+  if (now - knows_cancels_at() > book.config().keepalive()) return incoming.reply(503, "");
   if (spdlog::should_log(spdlog::level::debug) && !book.machine(r.machine))
     spdlog::debug("machine {} reports for the first time: {} in {}", r.machine, r.type, r.zone);
   // Guards against orders into a cut: each would wait in vain while the launches could go with this answer.
-  if (way == Way::Mail) book.beyond_reach(r.machine, now);
+  if (incoming.way == Way::Mail) book.beyond_reach(r.machine, now);
   auto result = book.on_report(r, Cluster::Channel::Report, now);
   if (result.superseded) {
-    reply(503, "");
+    incoming.reply(503, "");
     return election_.verify();
   }
+  reign_->orders->served_by(r.machine, incoming.server);
   book.answered(r.machine, now);
-  reply(200, codec::pack(codec::commands_to_wire(result.token, result.commands, std::nullopt)));
+  incoming.reply(200, codec::pack(codec::commands_to_wire(result.token, result.commands, std::nullopt)));
   react();
 }
 
+int Leader::machines_up() const {
+  if (!leading()) return 0;
+  int up = 0;
+  for (const auto& [name, m] : reign_->book->machines()) up += m.up && !m.doomed;
+  return up;
+}
+
+// ---------------------------------------------------------------- batches of serving controllers
+
+/// A batch whose reports are being answered.
+struct Leader::OpenBatch {
+  ReportReply reply;
+  std::size_t open = 0;
+  std::vector<serving::ReportAnswer> answers;
+  void answer(std::uint64_t id, int status, std::string body) {
+    answers.push_back({id, status, std::move(body)});
+    if (--open == 0) reply(200, serving::pack(answers));
+  }
+};
+
+void Leader::batch(serving::ReportBatch batch, ReportReply reply) {
+  if (!reign_) return reply(503, "");
+  if (batch.from == settings_.label) batch.from.clear();  // workers that wait with ourselves
+  bool outermost = !std::exchange(in_batch_, true);
+  if (leading())
+    for (const auto& outcome : batch.outcomes) reign_->orders->outcome(outcome);
+  auto open = std::make_shared<OpenBatch>();
+  open->reply = std::move(reply);
+  open->open = batch.reports.size() + 1;
+  for (const auto& forwarded : batch.reports) {
+    auto answer = [open, id = forwarded.id](int status, std::string body) {
+      open->answer(id, status, std::move(body));
+    };
+    auto report = reign_ ? whole_report(forwarded) : std::nullopt;
+    if (report)
+      take({std::move(*report), Way::Direct, batch.from, answer});
+    else
+      answer(!reign_ ? 503 : forwarded.body.empty() ? serving::kSendWhole : 400, "");
+  }
+  if (--open->open == 0) open->reply(200, serving::pack(open->answers));
+  if (outermost) in_batch_ = false;
+  react();
+}
+
+/// What a forwarded report says. No value: it is malformed, or unchanged since one that is not known here.
+std::optional<Report> Leader::whole_report(const serving::ForwardedReport& forwarded) {
+  auto& known = reign_->whole_reports;
+  if (!forwarded.body.empty()) {
+    auto parsed = codec::unpack(forwarded.body);
+    auto report = parsed ? codec::parse_report(*parsed) : std::nullopt;
+    if (report) known[report->machine] = *report;
+    return report;
+  }
+  auto last = known.find(forwarded.machine);
+  if (last == known.end() || last->second.session != forwarded.session ||
+      last->second.seq != forwarded.same_as || forwarded.number <= forwarded.same_as)
+    return std::nullopt;
+  Report report = last->second;
+  report.seq = forwarded.number;
+  return report;
+}
+
 // ---------------------------------------------------------------- what follows
 
 void Leader::react() {
-  if (!leading()) return;
+  if (!leading() || in_batch_) return;
   Reign& r = *reign_;
   for (const auto& note : r.book->take_notes()) spdlog::info("{}", note);
   for (const auto& detail : r.book->take_details()) spdlog::debug("{}", detail);
@@ -279,6 +351,11 @@
     r.leases->tick();
   }
   r.orders->sweep();
+  if (now - r.forgot_at > c::kForgetEvery) {
+    r.forgot_at = now;
+    r.orders->forget_machines();
+    std::erase_if(r.whole_reports, [&](const auto& known) { return !r.book->machine(known.first); });
+  }
   push_views();
   check_reach();
   answer_parked();
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -3,6 +3,8 @@
 #pragma once
 #include <functional>
 #include <memory>
+#include <optional>
+#include <unordered_map>
 
 #include "catalog.h"
 #include "cloud_fleet.h"
@@ -29,6 +31,7 @@
   struct Hooks {
     std::function<void(std::string label, std::uint64_t term)> leader_changed;  // empty label: none known
     std::function<void(std::vector<codec::JobView>)> views;                     // changed job displays
+    OrderRelay relay;  // to the controllers that serve workers
   };
   Leader(Loop& loop, const Settings& settings, const OperatorChoices& choices, StateClient& state,
          http::Client& cloud, Catalog& catalog, Hooks hooks);
@@ -37,6 +40,9 @@
 
   // Messages.
   void report(Report report, Way way, ReportReply reply);
+  /// What a serving controller passes on: reports of its workers, and outcomes of orders that went through
+  /// it. The reply comes once each report has its answer.
+  void batch(serving::ReportBatch batch, ReportReply reply);
   /// A peer saw a newer leader than us.
   void newer_term(std::uint64_t term);
   /// Peers accepted the cancel of these jobs.
@@ -47,17 +53,22 @@
   /// the grant goes back so that a successor is chosen at once. From then on this controller only watches who
   /// leads.
   void resign(std::function<void()> done);
+  /// Machines that are up, as far as the book knows; 0 while another controller leads.
+  int machines_up() const;
   bool leading() const { return reign_ && reign_->leading; }
   /// s of the steady clock: whatever needs a job whose cancel was told before then has its end stored. A fact
   /// that stays true whoever leads later; -1e9: nothing is known.
   double settled_at() const { return settled_at_; }
 
  private:
-  struct Parked {
+  /// A report on its way to the book.
+  struct Incoming {
     Report report;
     Way way;
+    std::string server;  // the controller that passed it on in a batch; empty: none did
     ReportReply reply;
   };
+  struct OpenBatch;
   /// What exists only while this controller leads, in the order of construction.
   struct Reign {
     Term term;
@@ -69,10 +80,12 @@
     std::unique_ptr<WorkerOrders> orders;
     std::unique_ptr<CloudFleet> fleet;
     std::unique_ptr<LeaseWatch> leases;
-    std::vector<Parked> parked;  // reports that arrive while loading
-    bool leading = false;        // loaded
-    double vouched = -1e9;       // last moment up to which all peers vouched that we miss no cancel
-    double last_report = 0, last_plan = -1e9, last_tick = 0, forms_asked_at = -1e9;
+    std::vector<Incoming> parked;  // reports that arrive while loading
+    /// Of machines that are served by other controllers: the last report that came whole.
+    std::unordered_map<std::string, Report> whole_reports;
+    bool leading = false;   // loaded
+    double vouched = -1e9;  // last moment up to which all peers vouched that we miss no cancel
+    double last_report = 0, last_plan = -1e9, last_tick = 0, forms_asked_at = -1e9, forgot_at = -1e9;
     std::unique_ptr<Settlement> settlement;
     double settled_written = -1e9;
     bool state_away = false, asking_forms = false;
@@ -84,7 +97,9 @@
   void end(const char* why);
   void give_up(const char* why, double pause_s);
   void all_are_new(const char* why);
-  void handle_report(const Report& report, Way way, const ReportReply& reply);
+  void take(Incoming incoming);
+  void handle(const Incoming& incoming);
+  std::optional<Report> whole_report(const serving::ForwardedReport& forwarded);
   void react();
   /// Whether the state service has confirmed the term since the process last stood still.
   bool awake();
@@ -111,6 +126,7 @@
   Membership membership_;
   std::unique_ptr<Reign> reign_;
   double settled_at_ = -1e9;
+  bool in_batch_ = false;  // what follows from its reports is looked at once, at its end
   Timer tick_timer_, plan_timer_, retry_timer_, resign_timer_;
 };
 
--- /dev/null
+++ b/src/serving/batches.cc
@@ -0,0 +1,159 @@
+#include "batches.h"
+
+#include "constants.h"
+
+namespace corkmux::serving {
+namespace {
+
+using codec::Json;
+
+constexpr std::size_t kEntryFrame = 64;  // bytes an entry takes beside its texts: numbers and their lengths
+
+struct MalformedEntry {};
+
+std::uint64_t number(const Json& entry, std::size_t at) {
+  if (!entry.at(at).is_number_unsigned()) throw MalformedEntry();
+  return entry.at(at).get<std::uint64_t>();
+}
+
+const std::string& text(const Json& entry, std::size_t at) {
+  if (!entry.at(at).is_string()) throw MalformedEntry();
+  return entry.at(at).get_ref<const std::string&>();
+}
+
+const std::string& name(const Json& entry, std::size_t at) {
+  const auto& out = text(entry, at);
+  if (out.empty() || out.size() > constants::kMaxText) throw MalformedEntry();
+  return out;
+}
+
+int status(const Json& entry, std::size_t at) {
+  auto out = number(entry, at);
+  if (out > 599) throw MalformedEntry();
+  return static_cast<int>(out);
+}
+
+ForwardedReport report_from(const Json& entry) {
+  ForwardedReport out;
+  out.id = number(entry, 0);
+  if (entry.size() == 2) {
+    out.body = text(entry, 1);
+    if (out.body.empty()) throw MalformedEntry();
+    return out;
+  }
+  out.machine = name(entry, 1);
+  out.session = number(entry, 2);
+  out.same_as = number(entry, 3);
+  out.number = number(entry, 4);
+  return out;
+}
+
+OrderOutcome outcome_from(const Json& entry) {
+  OrderOutcome out;
+  out.id = number(entry, 0);
+  out.status = status(entry, 1);
+  if (!entry.at(2).is_boolean()) throw MalformedEntry();
+  out.sent = entry.at(2).get<bool>();
+  out.body = text(entry, 3);
+  return out;
+}
+
+ForwardedOrders orders_from(const Json& entry) {
+  return {number(entry, 0), name(entry, 1), name(entry, 2), text(entry, 3)};
+}
+
+/// Entries that parse; the others are counted.
+template <typename Entry>
+std::vector<Entry> entries(const Json& message, const char* field, int& malformed,
+                           Entry (*parse)(const Json&)) {
+  std::vector<Entry> out;
+  auto list = message.find(field);
+  if (list == message.end()) return out;
+  if (!list->is_array()) {
+    ++malformed;
+    return out;
+  }
+  for (const auto& entry : *list) try {
+      out.push_back(parse(entry));
+    } catch (const MalformedEntry&) {
+      ++malformed;
+    } catch (const Json::exception&) {
+      ++malformed;
+    }
+  return out;
+}
+
+std::optional<Json> message_from(std::string_view bytes) {
+  auto message = codec::unpack(bytes);
+  if (!message || !message->is_object()) return std::nullopt;
+  auto from = message->find("from");
+  if (from == message->end() || !from->is_string()) return std::nullopt;
+  return message;
+}
+
+}  // namespace
+
+std::string pack(const ReportBatch& batch) {
+  Json reports = Json::array(), outcomes = Json::array();
+  for (const auto& r : batch.reports)
+    if (r.body.empty())
+      reports.push_back({r.id, r.machine, r.session, r.same_as, r.number});
+    else
+      reports.push_back({r.id, r.body});
+  for (const auto& o : batch.outcomes) outcomes.push_back({o.id, o.status, o.sent, o.body});
+  return codec::pack(
+      {{"from", batch.from}, {"reports", std::move(reports)}, {"outcomes", std::move(outcomes)}});
+}
+
+std::string pack(const std::vector<ReportAnswer>& answers) {
+  Json out = Json::array();
+  for (const auto& a : answers) out.push_back({a.id, a.status, a.body});
+  return codec::pack(out);
+}
+
+std::string pack(const OrderBatch& batch) {
+  Json orders = Json::array();
+  for (const auto& o : batch.orders) orders.push_back({o.id, o.machine, o.address, o.body});
+  return codec::pack({{"from", batch.from}, {"orders", std::move(orders)}});
+}
+
+std::optional<Parsed<ReportBatch>> parse_reports(std::string_view bytes) {
+  auto message = message_from(bytes);
+  if (!message) return std::nullopt;
+  Parsed<ReportBatch> out;
+  out.message.from = (*message)["from"].get<std::string>();
+  out.message.reports = entries(*message, "reports", out.malformed, &report_from);
+  out.message.outcomes = entries(*message, "outcomes", out.malformed, &outcome_from);
+  return out;
+}
+
+std::optional<Parsed<OrderBatch>> parse_orders(std::string_view bytes) {
+  auto message = message_from(bytes);
+  if (!message) return std::nullopt;
+  Parsed<OrderBatch> out;
+  out.message.from = (*message)["from"].get<std::string>();
+  out.message.orders = entries(*message, "orders", out.malformed, &orders_from);
+  return out;
+}
+
+std::optional<std::vector<ReportAnswer>> parse_answers(std::string_view bytes) {
+  auto message = codec::unpack(bytes);
+  if (!message || !message->is_array()) return std::nullopt;
+  std::vector<ReportAnswer> out;
+  for (const auto& entry : *message) try {
+      out.push_back({number(entry, 0), status(entry, 1), text(entry, 2)});
+    } catch (const MalformedEntry&) {
+    } catch (const Json::exception&) {
+    }
+  return out;
+}
+
+std::size_t size_of(const ForwardedReport& report) {
+  return kEntryFrame + report.body.size() + report.machine.size();
+}
+std::size_t size_of(const OrderOutcome& outcome) { return kEntryFrame + outcome.body.size(); }
+std::size_t size_of(const ForwardedOrders& orders) {
+  return kEntryFrame + orders.machine.size() + orders.address.size() + orders.body.size();
+}
+
+}  // namespace corkmux::serving
--- /dev/null
+++ b/src/serving/report_forwarder.h
@@ -0,0 +1,70 @@
+// The serving side of batches: gathers what workers report, passes it to the leader in few messages, and
+// gives each worker the leader's answer to its own report. It never answers for the leader: without the
+// leader's answer a worker's lease is not renewed.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "batches.h"
+#include "http.h"
+#include "types.h"
+
+namespace corkmux::serving {
+
+class ReportForwarder : public Actor<ReportForwarder> {
+ public:
+  /// Status 0: the leader may have the report, and its answer was not heard.
+  using Reply = std::function<void(int status, std::string body)>;
+  /// Sends a batch to a controller.
+  using Post =
+      std::function<void(const std::string& label, std::string body, std::function<void(http::Result)> done)>;
+  ReportForwarder(Loop& loop, std::string own_label, Post post);
+  /// Empty: none is known; reports wait for the next one, for as long as their workers do.
+  void leader_changed(const std::string& label);
+  void forward(const Report& report, std::string body, Reply reply);
+  /// Goes with the next batch.
+  void add_outcome(OrderOutcome outcome);
+  /// Nothing is waiting and nothing is on its way.
+  bool idle() const { return waiting_.empty() && outcomes_.empty() && in_flight_ == 0; }
+
+ private:
+  struct Waiting {
+    Report report;
+    std::string body;
+    Reply reply;
+    double since = 0;   // s of the steady clock: when it came
+    bool whole = true;  // the leader does not know what it says yet
+  };
+  /// The last report of a worker that the leader has answered whole.
+  struct Confirmed {
+    Report report;
+    double at = 0;
+  };
+  using Sent = std::map<std::uint64_t, Waiting>;
+  bool unchanged(const Report& report) const;
+  void schedule(double after_s);
+  void flush();
+  ReportBatch next_batch(Sent& sent);
+  void send();
+  void answered(const std::string& leader, Sent sent, const http::Result& result);
+  void take_answers(Sent sent, const std::vector<ReportAnswer>& answers);
+  /// What has not reached the leader waits for another try, while there is time for one.
+  void try_again(Sent sent);
+  void confirm(const Report& report);
+  void give_up_overdue();
+  std::string own_label_, leader_;
+  Post post_;
+  std::deque<Waiting> waiting_;
+  std::deque<OrderOutcome> outcomes_;
+  std::size_t waiting_bytes_ = 0;
+  std::unordered_map<std::string, Confirmed> confirmed_;
+  std::uint64_t next_id_ = 1;
+  int in_flight_ = 0;
+  double flush_at_ = 0;
+  Timer flush_timer_, overdue_timer_;
+};
+
+}  // namespace corkmux::serving
--- /dev/null
+++ b/src/serving/worker_connections.cc
@@ -0,0 +1,24 @@
+#include "worker_connections.h"
+
+#include "constants.h"
+
+namespace corkmux::serving {
+
+http::Client& WorkerConnections::to(const std::string& worker, const std::string& address) {
+  auto& connection = connections_[worker];
+  if (!connection.client || connection.client->address() != address)
+    connection.client = std::make_unique<http::Client>(loop_, address, 1, 4);
+  connection.used_at = steady_now();
+  return *connection.client;
+}
+
+void WorkerConnections::close_idle() {
+  double patience =
+      connections_.size() > most_ ? constants::kOrderConnectionScarce : constants::kIdleConnection;
+  double now = steady_now();
+  std::erase_if(connections_, [&](const auto& entry) {
+    return !entry.second.client->busy() && now - entry.second.used_at > patience;
+  });
+}
+
+}  // namespace corkmux::serving
--- a/src/world/clockwork.cc
+++ b/src/world/clockwork.cc
@@ -140,6 +140,7 @@
   Host* to = find(ip_of(address));
   auto id = next_call_++;
   calls_[id] = {&from, to, std::move(done), request.target};
+  if (from.role == "controller" && to && to->role == "controller") ++peer_requests_[request.target];
   if (!to) {  // nobody there: silent
     calls_.erase(id);
     return false;
--- a/src/world/clockwork.h
+++ b/src/world/clockwork.h
@@ -118,6 +118,8 @@
   bool reaches(const Host& a, const Host& b) const { return !cut_between(a, b) && !cut_between(b, a); }
   std::uint64_t events_run() const { return events_run_; }
   std::uint64_t requests_sent() const { return next_call_ - 1; }
+  /// Requests of one controller to another, by path.
+  const std::map<std::string, std::uint64_t>& peer_requests() const { return peer_requests_; }
   /// Requests that were executed and whose answers lose_answers() has lost.
   std::uint64_t answers_lost() const { return answers_lost_; }
   /// Requests that a cut held back and that arrived after it.
@@ -168,6 +170,7 @@
   std::unordered_set<std::uint64_t> live_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::unordered_map<std::string, Host*> by_ip_;
+  std::map<std::string, std::uint64_t> peer_requests_;
   std::map<std::uint64_t, Call> calls_;
   std::vector<Cut> cuts_;
   std::vector<Weak> lossy_, mute_, slow_;
--- a/src/world/plan.cc
+++ b/src/world/plan.cc
@@ -106,6 +106,8 @@
         {"late_writes", {"share", "for_s", "at_once"}},
         {"late_reports", {"share", "for_s", "for_next"}},
         {"late_orders", {"share", "for_s"}},
+        {"late_batches", {"share", "for_s"}},
+        {"batches_again", {"share", "for_s"}},
         {"job_burst", {"class", "team", "factor", "for_s"}},
         {"cancel_now", {"count", "hang_s"}},
         {"cancel_at_end", {"share", "for_s"}},
@@ -141,6 +143,7 @@
   p.controllers = top.texts("controllers"), p.zones = top.texts("zones");
   auto state = top.sub("state"), cloud = top.sub("cloud"), workers = top.sub("workers");
   Settings& s = p.site;
+  s.max_connections = static_cast<int>(top.amount_or("fd_limit", s.max_connections));
   s.zones = p.zones;
   s.state_rps = state.amount("rps", true), s.state_write_rps = state.amount("write_rps", true);
   s.value_kb = state.amount("value_kb", true), s.txn_ops = static_cast<int>(state.amount("txn_ops", true));
@@ -260,7 +263,7 @@
     if (f.kind == "node_crash" && rng() % 2) f.back_s = uniform(0.05, 1), f.every_s = uniform(0.3, 3);
     if (f.back_s > 0 && rng() % 2) f.times = 1 + static_cast<int>(rng() % 5);
     bool some = f.kind == "answers_lost" || f.kind == "late_writes" || f.kind == "late_reports" ||
-                f.kind == "late_orders";
+                f.kind == "late_orders" || f.kind == "late_batches" || f.kind == "batches_again";
     f.share = some ? uniform(0.05, 0.4) : uniform(0.2, 0.8);
     f.notice_s = rng() % 2 ? uniform(5, 30) : 0;
     f.at_once = f.for_next = rng() % 2;
--- a/src/world/worker.cc
+++ b/src/world/worker.cc
@@ -220,11 +220,10 @@
   }
   Json warning;
   if (notice_at_ > 0) warning = std::max(0.0, notice_at_ - steady_now());
-  return {{"host", facts_.name},       {"address", address()},
-          {"build", facts_.type.name}, {"room", facts_.zone},
-          {"lendable", facts_.spot},   {"watch", session_},
-          {"tick", ++tick_},           {"baton", token_},
-          {"warningS", warning},       {"parts", parts}};
+  return {{"host", facts_.name}, {"address", address()},    {"build", facts_.type.name},
+          {"room", facts_.zone}, {"lendable", facts_.spot}, {"watch", session_},
+          {"tick", ++tick_},     {"baton", token_},         {"warningS", warning},
+          {"parts", parts}};
 }
 
 void Worker::obey(const Json& body) {
--- a/src/world/world.h
+++ b/src/world/world.h
@@ -111,6 +111,7 @@
   void machine_fault(const Fault& fault);
   void cut_fault(const Fault& fault);
   void late_fault(const Fault& fault);
+  void late_batches(const Fault& fault);
   void users_fault(const Fault& fault);
   void call_off_some(const Fault& fault);
   void hang(const std::string& name, double for_s);
--- a/src/world/world_constants.h
+++ b/src/world/world_constants.h
@@ -27,9 +27,9 @@
 
 // --- cloud ---
 inline constexpr std::size_t kCloudConnections = 200;  // it takes; three of each controller
-inline constexpr double kCloudAnswer = 0.05;  // s
-inline constexpr double kDeadListed = 30;     // s a dead machine is still listed as running (PROTOCOL)
-inline constexpr double kNeverUp = 0.01;      // of rented machines; "a few" (PROTOCOL)
+inline constexpr double kCloudAnswer = 0.05;           // s
+inline constexpr double kDeadListed = 30;  // s a dead machine is still listed as running (PROTOCOL)
+inline constexpr double kNeverUp = 0.01;   // of rented machines; "a few" (PROTOCOL)
 
 // --- workers ---
 inline constexpr double kReportSoonest = 0.5;  // s between reports that changes cause (PROTOCOL)
--- a/tests/planted_test.cc
+++ b/tests/planted_test.cc
@@ -40,23 +40,27 @@
 }
 
 std::string part(const ::testing::TestParamInfo<Case>& info) {
-  static const std::vector<std::string> parts = {"election", "keeper", "lease_watch", "mail",  "book",
-                                                 "orders",   "peers",  "proofs",      "gangs", "gateway"};
+  static const std::vector<std::string> parts = {"election", "keeper",  "lease_watch",   "mail",  "book",
+                                                 "orders",   "peers",   "proofs",        "gangs", "gateway",
+                                                 "serving",  "batches", "relayed_orders"};
   return parts[info.index];
 }
 INSTANTIATE_TEST_SUITE_P(
     Worlds, Planted,
-    ::testing::Values(Case{"a term is used twice", "forty", "restarts", 10},
-                      Case{"a keeper answers before its record is stored", "scarce", "apart-and-leaders-end",
-                           60},
-                      Case{"keepers are not asked", "scarce", "apart-and-leaders-end", 60},
-                      Case{"mail for the leader is not read", "scarce", "apart", 60},
-                      Case{"half a lease counts as a whole one", "forty", "zone-cut", 10},
-                      Case{"what was cleared can be launched again", "forty", "orders-again", 5},
-                      Case{"cancels of peers are not heard", "long", "away-before-anybody-follows", 5},
-                      Case{"what was read before is told again", "meetings", "asked-at-once", 2},
-                      Case{"a gang that is done has left all machines", "meetings", "at-the-limit", 40},
-                      Case{"a repeat of what is stored is refused", "meetings", "answers-lost", 2}),
+    ::testing::Values(
+        Case{"a term is used twice", "forty", "restarts", 10},
+        Case{"a keeper answers before its record is stored", "scarce", "apart-and-leaders-end", 60},
+        Case{"keepers are not asked", "scarce", "apart-and-leaders-end", 60},
+        Case{"mail for the leader is not read", "scarce", "apart", 60},
+        Case{"half a lease counts as a whole one", "forty", "zone-cut", 10},
+        Case{"what was cleared can be launched again", "forty", "orders-again", 5},
+        Case{"cancels of peers are not heard", "long", "away-before-anybody-follows", 5},
+        Case{"what was read before is told again", "meetings", "asked-at-once", 2},
+        Case{"a gang that is done has left all machines", "meetings", "at-the-limit", 40},
+        Case{"a repeat of what is stored is refused", "meetings", "answers-lost", 2},
+        Case{"a serving controller answers without the leader", "serving", "leaders-change", 10},
+        Case{"answers of a batch are mixed up", "serving", "servers-crash", 10},
+        Case{"an unanswered batch of orders counts as unsent", "serving", "late-batches", 10}),
     part);
 
 /// In the book alone, against a plain model: what is not urgent ends up below half without the floor.
