--- a/src/controller/serving_coordinator.cc
+++ b/src/controller/serving_coordinator.cc
@@ -28,18 +28,11 @@
 void ServingCoordinator::look() {
   bool leads = leader_.leading();
   // A new leader goes on as the one before did, until it knows its machines better.
-  if (leads && !led_) {
-    decision_.start_from(!peers_.serving().empty());
-    leads_since_ = steady_now();
-  }
+  if (leads && !std::exchange(led_, leads)) decision_.start_from(!peers_.serving().empty());
   led_ = leads;
   if (!leads) return;
   bool shared = decision_.update(leader_.machines_up());
   auto labels = shared ? peers_.able_to_serve() : std::vector<std::string>();
-  // Guards against all workers on the first one or two controllers that a new leader hears of: the others
-  // greet it within a second or two, or are gone.
-  bool early = steady_now() - leads_since_ < c::kPeerLost;
-  if (early && shared && labels.size() < settings_.peers.size()) return;
   if (labels == peers_.serving()) return;
   if (labels.empty())
     spdlog::info("the leader serves all workers itself");
--- a/src/controller/serving_coordinator.h
+++ b/src/controller/serving_coordinator.h
@@ -25,7 +25,6 @@
   Gateway& gateway_;
   serving::SharingDecision decision_;
   bool led_ = false;
-  double leads_since_ = 0;  // s of the steady clock
   Timer timer_, settle_timer_;
 };
 
