--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 #include <random>
 #include <utility>
 
@@ -64,6 +66,7 @@
   explicit Loop(Driver& driver) : driver_(&driver) {}
   ~Loop() {
     queue_.clear();  // what waits in messages may own watchers, which need the loop
+    for (auto& [id, call] : delayed_) ev_timer_stop(loop_, &call->timer);
     if (driver_)
       driver_->stop(waiting_);
     else
@@ -90,8 +93,37 @@
     }
     queue_.push_back(std::move(message));
   }
+  /// Runs `fn` once, `after_s` from now; the answer names it to cancel() and is never 0.
+  std::uint64_t call_later(double after_s, std::function<void()> fn) {
+    if (driver_) return driver_->start(after_s, std::move(fn));
+    auto id = ++last_delayed_;
+    auto call = std::make_unique<DelayedCall>();
+    call->loop = this, call->id = id, call->fn = std::move(fn);
+    ev_now_update(loop_);
+    ev_timer_init(&call->timer, &Loop::run_delayed, after_s < 0 ? 0 : after_s, 0.);
+    call->timer.data = call.get();
+    ev_timer_start(loop_, &call->timer);
+    delayed_.emplace(id, std::move(call));
+    return id;
+  }
+  void cancel(std::uint64_t delayed_call) {
+    if (driver_) return driver_->stop(delayed_call);
+    auto call = delayed_.extract(delayed_call);
+    if (call) ev_timer_stop(loop_, &call.mapped()->timer);
+  }
 
  private:
+  struct DelayedCall {
+    ev_timer timer{};
+    Loop* loop = nullptr;
+    std::uint64_t id = 0;
+    std::function<void()> fn;
+  };
+  static void run_delayed(struct ev_loop*, ev_timer* timer, int) {
+    auto* due = static_cast<DelayedCall*>(timer->data);
+    auto call = due->loop->delayed_.extract(due->id);  // ended before it runs: it may start others
+    call.mapped()->fn();
+  }
   static void drain(struct ev_loop* raw, ev_idle* watcher, int) {
     ev_idle_stop(raw, watcher);
     static_cast<Loop*>(watcher->data)->run_batch();
@@ -106,6 +138,8 @@
   struct ev_loop* loop_ = nullptr;
   ev_idle idle_{};
   std::deque<Message> queue_;
+  std::uint64_t last_delayed_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<DelayedCall>> delayed_;
 };
 
 class Timer {
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -300,7 +300,8 @@
   Parser parser;
   std::unique_ptr<Io> io;
   std::string out, waiting;
-  std::size_t offset = 0;
+  std::size_t offset = 0, received = 0;  // bytes: sent of `out`; of the request that is being read
+  TrafficCount* traffic = nullptr;       // of the request that is being served
   bool serving = false, closing = false, keep = true, in_parts = false;
   double last = steady_now();
 };
@@ -410,6 +411,7 @@
 
 void Server::advance(Connection& c, std::string_view bytes) {
   auto id = c.id;
+  c.received += bytes.size();
   switch (c.parser.feed(bytes)) {
     case Parser::State::NeedMore:
       return;
@@ -425,6 +427,9 @@
       std::move(c.parser.method),       std::move(c.parser.target), std::move(c.parser.body),         c.keep,
       std::move(c.parser.content_type), std::move(c.parser.accept), std::move(c.parser.authorization)};
   c.parser.reset();
+  c.traffic = &Traffic::of_process().kind(Traffic::Side::Served, request.method, request.target);
+  ++c.traffic->messages;
+  c.traffic->bytes_in += std::exchange(c.received, 0);
   handler_(id, std::move(request));
 }
 
@@ -434,7 +439,9 @@
   if (it == connections_.end()) return;
   Connection& c = *it->second;
   if (response.close || !c.keep || closing_) c.closing = true;
-  c.out += serialize(response, !c.closing);
+  auto bytes = serialize(response, !c.closing);
+  if (c.traffic) c.traffic->bytes_out += bytes.size();
+  c.out += bytes;
   c.serving = false;
   c.last = steady_now();
   flush(c);
@@ -547,6 +554,9 @@
   if (!body.empty() || method == "POST")
     p.bytes += "Content-Type: application/msgpack\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
   p.bytes += "\r\n" + body;
+  p.traffic = &Traffic::of_process().kind(Traffic::Side::Sent, method, target);
+  ++p.traffic->messages;
+  p.traffic->bytes_out += p.bytes.size();
   p.deadline = steady_now() + timeout_s;
   p.done = std::move(done);
   queue_.push_back(std::move(p));
@@ -659,6 +669,7 @@
     case Io1::Some:
       break;
   }
+  c->pending.traffic->bytes_in += bytes.size();
   switch (c->parser.feed(bytes)) {
     case Parser::State::NeedMore:
       return;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -13,6 +13,7 @@
 
 #include "carrier.h"
 #include "loop.h"
+#include "traffic.h"
 
 namespace corkmux::http {
 
@@ -148,6 +149,7 @@
     bool safe = false;     // GET: may be sent again on a fresh connection
     Request request = {};  // for a carrier, instead of the bytes
     bool sent = false;     // by a carrier
+    TrafficCount* traffic = nullptr;
   };
   struct Connection;
   void pump();
--- a/src/programs/main.cc
+++ b/src/programs/main.cc
@@ -5,11 +5,24 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 #include "api.h"
 #include "constants.h"
 #include "controller.h"
 
+namespace {
+
+/// One line with the messages and bytes of this process so far, by kind, for an operator or the scale run.
+void log_traffic() {
+  auto kinds = nlohmann::json::object();
+  for (const auto& [kind, count] : corkmux::http::Traffic::of_process().counts())
+    kinds[kind] = {count.messages, count.bytes_in, count.bytes_out};
+  spdlog::info("traffic [messages, bytes in, bytes out]: {}", kinds.dump());
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   CLI::App app{"corkmux: a controller of the cluster scheduler"};
   std::string config, operator_file;
@@ -72,6 +85,7 @@
     };
     corkmux::Signal terminate(loop, SIGTERM, [&] { end(SIGTERM); });
     corkmux::Signal interrupt(loop, SIGINT, [&] { end(SIGINT); });
+    corkmux::Signal traffic_wanted(loop, SIGUSR1, [] { log_traffic(); });
     std::optional<corkmux::Signal> hangup;
     if (choices.kubernetes)
       hangup.emplace(loop, SIGHUP, [&] {
--- /dev/null
+++ b/src/scale/job_source.h
@@ -0,0 +1,26 @@
+// The jobs of a scale run. Job number n is always the same for a plan, so every process that needs a job's
+// description computes it from the name alone; nothing has to be sent.
+#pragma once
+#include <optional>
+#include <string>
+
+#include "scale_plan.h"
+#include "yard.h"
+
+namespace corkmux::scale {
+
+class JobSource {
+ public:
+  explicit JobSource(const ScalePlan& plan) : plan_(plan) {}
+  static std::string name(int number);
+  /// No value: not a name that name() gives.
+  static std::optional<int> number(const std::string& name);
+  world::Work job(int number) const;
+  /// Whether its user cancels it some time after the submission.
+  bool cancelled(int number) const;
+
+ private:
+  const ScalePlan& plan_;
+};
+
+}  // namespace corkmux::scale
--- /dev/null
+++ b/src/scale/machine_events.h
@@ -0,0 +1,53 @@
+// What a process that hosts workers tells the collector of the run: events of its machines, in its own order,
+// and the moment up to which it has told everything.
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "codec.h"
+#include "worker.h"
+
+namespace corkmux::scale {
+
+using codec::Json;
+
+/// s on the clock that all processes of one machine share.
+double run_time();
+
+struct MachineEvent {
+  enum class Kind { Up, On, Off, Lost, Running, Done };
+  Kind kind = Kind::Up;
+  double at = 0;
+  std::string machine;  // Up, On, Off
+  std::string job;      // all but Up
+  int index = 0;
+  std::uint64_t attempt = 0;
+  std::string why;     // Off, Lost; of Up the address at which the worker takes orders
+  double seconds = 0;  // Lost: of a task's run
+};
+
+/// One message of a host.
+struct HostReport {
+  int host = 0;
+  double until = 0;  // everything up to here has been told with this message
+  std::vector<MachineEvent> events;
+  Json traffic = Json::object();  // http::Traffic of the process
+  int workers = 0, tasks = 0;
+};
+Json to_wire(const HostReport& report);
+std::optional<HostReport> parse_host_report(const Json& body);
+
+/// What the collector answers.
+struct HostOrders {
+  std::vector<world::MachineFacts> boot;
+  std::vector<std::string> lose;  // these machines end with all that is on them
+  std::string why_lost;
+};
+Json to_wire(const HostOrders& orders);
+HostOrders parse_host_orders(const Json& body, const std::vector<MachineType>& types);
+
+/// Traffic of this process, for a report.
+Json traffic_to_wire();
+
+}  // namespace corkmux::scale
--- /dev/null
+++ b/src/scale/machine_host.cc
@@ -0,0 +1,111 @@
+#include "machine_host.h"
+
+#include <fmt/format.h>
+
+#include <stdexcept>
+
+#include "scale_constants.h"
+#include "world_constants.h"
+
+namespace corkmux::scale {
+namespace {
+
+constexpr int kMostFailures = 5;  // of reports in a row, after which the collector counts as gone
+
+int number_of(const std::string& machine) { return std::stoi(machine.substr(2)); }
+
+}  // namespace
+
+MachineHost::MachineHost(Loop& loop, const ScalePlan& plan, int host, int network,
+                         std::map<std::string, std::string> controllers, const std::string& collector)
+    : loop_(loop),
+      plan_(plan),
+      host_(host),
+      network_(network),
+      controllers_(std::move(controllers)),
+      jobs_(plan),
+      yard_(loop, plan.times.gang_peer_s, *this, run_time),
+      collector_(loop, collector, 1, 4),
+      types_(plan.types()) {
+  yard_.invent = [this](const std::string& job) {
+    auto number = JobSource::number(job);
+    if (!number) throw std::runtime_error("a launch names no job of this run: " + job);
+    return jobs_.job(*number);
+  };
+  report();
+}
+MachineHost::~MachineHost() = default;
+
+void MachineHost::add(MachineEvent event) {
+  event.at = run_time();
+  events_.push_back(std::move(event));
+}
+
+void MachineHost::on(const std::string& machine, const std::string&, const std::string&, bool,
+                     const world::Work& work, int index, std::uint64_t attempt) {
+  add({MachineEvent::Kind::On, 0, machine, work.spec.id, index, attempt, "", 0});
+}
+void MachineHost::off(const std::string& machine, const world::Work& work, int index, std::uint64_t attempt,
+                      const std::string& why) {
+  add({MachineEvent::Kind::Off, 0, machine, work.spec.id, index, attempt, why, 0});
+}
+void MachineHost::lost(const world::Work& work, const std::string& why, double seconds) {
+  add({MachineEvent::Kind::Lost, 0, "", work.spec.id, 0, 0, why, seconds});
+}
+void MachineHost::running(const world::Work& work, int index) {
+  add({MachineEvent::Kind::Running, 0, "", work.spec.id, index, 0, "", 0});
+}
+void MachineHost::done(const world::Work& work, int index) {
+  add({MachineEvent::Kind::Done, 0, "", work.spec.id, index, 0, "", 0});
+}
+
+/// One batch of events, then the next after a pause; what is not taken is sent again.
+void MachineHost::report() {
+  auto batch = std::make_shared<HostReport>();
+  batch->host = host_;
+  std::size_t count = std::min(events_.size(), kEventsAtOnce);
+  batch->events.assign(events_.begin(), events_.begin() + static_cast<std::ptrdiff_t>(count));
+  batch->until = count < events_.size() ? batch->events.back().at : run_time();
+  batch->traffic = traffic_to_wire();
+  batch->workers = static_cast<int>(workers_.size());
+  for (const auto& [name, worker] : workers_) batch->tasks += worker->tasks();
+  bool more = count < events_.size();
+  collector_.request("POST", "/host", codec::pack(to_wire(*batch)), kEventsTimeout,
+                     [this, count, more](http::Result result) {
+                       auto body = result.ok() ? codec::unpack(result.body) : std::nullopt;
+                       if (!body) {
+                         if (++failures_ >= kMostFailures) return loop_.stop();
+                         loop_.call_later(kEventsEvery, [this] { report(); });
+                         return;
+                       }
+                       failures_ = 0;
+                       events_.erase(events_.begin(), events_.begin() + static_cast<std::ptrdiff_t>(count));
+                       obey(parse_host_orders(*body, types_));
+                       loop_.call_later(more ? 0 : kEventsEvery, [this] { report(); });
+                     });
+}
+
+void MachineHost::obey(const HostOrders& orders) {
+  for (const auto& facts : orders.boot) boot(facts);
+  for (const auto& name : orders.lose) lose(name, orders.why_lost);
+}
+
+void MachineHost::boot(const world::MachineFacts& facts) {
+  if (workers_.count(facts.name)) return;
+  int n = number_of(facts.name);
+  auto listen = fmt::format("127.{}.{}.{}:0", network_, n / 250, n % 250 + 1);
+  auto worker = std::make_unique<world::Worker>(loop_, facts, plan_.times, controllers_, yard_, listen);
+  add({MachineEvent::Kind::Up, 0, facts.name, "", 0, 0, worker->address(), 0});
+  workers_.emplace(facts.name, std::move(worker));
+}
+
+void MachineHost::lose(const std::string& machine, const std::string& why) {
+  auto worker = workers_.extract(machine);
+  if (!worker) return;
+  worker.mapped()->die(why);
+  // Messages that name it may still wait on the loop; it is freed after them.
+  std::shared_ptr<world::Worker> dead(std::move(worker.mapped()));
+  loop_.call_later(2 * kEventsEvery, [dead] {});
+}
+
+}  // namespace corkmux::scale
--- /dev/null
+++ b/src/scale/machine_host.h
@@ -0,0 +1,52 @@
+// A process that hosts hollow workers: each has real sockets on a loopback address of its own, real reports,
+// leases, tokens, orders and image times, but executes nothing. All workers of one zone share a process, so
+// that the members of a gang, which are placed in one zone, find one another in it.
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http.h"
+#include "job_source.h"
+#include "machine_events.h"
+#include "scale_plan.h"
+#include "worker.h"
+
+namespace corkmux::scale {
+
+class MachineHost : public world::Witness {
+ public:
+  /// `controllers`: label and users' address of each; `network`: second number of the loopback addresses.
+  MachineHost(Loop& loop, const ScalePlan& plan, int host, int network,
+              std::map<std::string, std::string> controllers, const std::string& collector);
+  ~MachineHost() override;
+
+  void on(const std::string& machine, const std::string& type, const std::string& zone, bool spot,
+          const world::Work& work, int index, std::uint64_t attempt) override;
+  void off(const std::string& machine, const world::Work& work, int index, std::uint64_t attempt,
+           const std::string& why) override;
+  void lost(const world::Work& work, const std::string& why, double seconds) override;
+  void running(const world::Work& work, int index) override;
+  void done(const world::Work& work, int index) override;
+
+ private:
+  void report();
+  void obey(const HostOrders& orders);
+  void boot(const world::MachineFacts& facts);
+  void lose(const std::string& machine, const std::string& why);
+  void add(MachineEvent event);
+  Loop& loop_;
+  const ScalePlan& plan_;
+  int host_, network_;
+  std::map<std::string, std::string> controllers_;
+  JobSource jobs_;
+  world::Yard yard_;
+  http::Client collector_;
+  std::vector<MachineType> types_;
+  std::map<std::string, std::unique_ptr<world::Worker>> workers_;
+  std::deque<MachineEvent> events_;
+  int failures_ = 0;  // reports in a row that the collector did not take
+};
+
+}  // namespace corkmux::scale
--- /dev/null
+++ b/src/scale/scale_run.cc
@@ -0,0 +1,581 @@
+#include "scale_run.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <numeric>
+#include <random>
+
+#include "constants.h"
+#include "scale_constants.h"
+#include "world_constants.h"
+
+namespace corkmux::scale {
+namespace fs = std::filesystem;
+using codec::Json;
+
+namespace {
+
+fs::path make_folder() {
+  std::string name = (fs::temp_directory_path() / "corkmux-scale-XXXXXX").string();
+  if (!::mkdtemp(name.data())) throw std::runtime_error(name + " cannot be made");
+  return name;
+}
+
+void write_file(const fs::path& path, const std::string& text) {
+  std::ofstream out(path);
+  out << text;
+  if (!out.flush()) throw std::runtime_error(path.string() + ": cannot be written");
+}
+
+Json per_second(const Json& now, const Json& before, double seconds) {
+  Json out = Json::object();
+  for (const auto& [kind, counts] : now.items()) {
+    auto was = before.value(kind, Json{0, 0, 0});
+    auto rate = [&](std::size_t i) { return (counts[i].get<double>() - was[i].get<double>()) / seconds; };
+    if (rate(0) > 0) out[kind] = {{"messages", rate(0)}, {"bytes_in", rate(1)}, {"bytes_out", rate(2)}};
+  }
+  return out;
+}
+
+/// Sums of [messages, bytes in, bytes out] by kind.
+void add_traffic(Json& sum, const Json& more) {
+  for (const auto& [kind, counts] : more.items()) {
+    if (!sum.contains(kind)) sum[kind] = {0, 0, 0};
+    for (std::size_t i = 0; i < 3; ++i)
+      sum[kind][i] = sum[kind][i].get<std::uint64_t>() + counts[i].get<std::uint64_t>();
+  }
+}
+
+}  // namespace
+
+ScaleRun::ScaleRun(Loop& loop, ScalePlan plan, Programs programs, std::string plan_file,
+                   std::vector<std::string> overrides)
+    : loop_(loop),
+      plan_(std::move(plan)),
+      programs_(std::move(programs)),
+      plan_file_(std::move(plan_file)),
+      overrides_(std::move(overrides)),
+      jobs_(plan_),
+      record_(plan_.team_list(), plan_.site.cancel_s, plan_.zone_names().size(), measures_),
+      folder_(make_folder()),
+      nobody_(std::make_unique<world::Witness>()),
+      yard_(loop, plan_.times.gang_peer_s, *nobody_, run_time),
+      collector_(loop, "127.0.0.1:0", kMostProcesses + 50,
+                 [this](http::Server::ConnectionId id, http::Request r) { serve(id, r); }),
+      random_(plan_.seed) {}
+
+ScaleRun::~ScaleRun() {
+  for (auto& c : controllers_) c->process.reset();
+  for (auto& h : hosts_) h->process.reset();
+  state_.process.reset();
+  std::error_code ignored;
+  if (failure_.empty()) fs::remove_all(folder_, ignored);
+}
+
+void ScaleRun::start(std::function<void()> done) {
+  done_ = std::move(done);
+  state_.log = folder_ / "state.log";
+  std::vector<std::string> command{programs_.own, plan_file_,
+                                   "--role",      "state",
+                                   "--collector", fmt::format("127.0.0.1:{}", collector_.port())};
+  command.insert(command.end(), overrides_.begin(), overrides_.end());
+  state_.process = std::make_unique<ChildProcess>(command, state_.log);
+  sample();
+  progress();
+  wait_for(
+      "the state service", [this] { return state_counts_.port != 0; }, [this] { begin_outside(); });
+}
+
+void ScaleRun::wait_for(std::string what, std::function<bool()> there, std::function<void()> then) {
+  auto until = std::make_shared<double>(run_time() + kUpPatience);
+  auto look = std::make_shared<std::function<void()>>();
+  *look = [=, this] {
+    if (over_) return;
+    if (there()) return then();
+    if (run_time() > *until) return fail(what + " did not come up");
+    loop_.call_later(kEventsEvery, *look);
+  };
+  (*look)();
+}
+
+// ---------------------------------------------------------------- what is started
+
+void ScaleRun::begin_outside() {
+  std::vector<world::Capacity> capacity;
+  auto zones = plan_.zone_names();
+  for (std::size_t z = 0; z < zones.size(); ++z)
+    for (const auto& type : plan_.types())
+      capacity.push_back({type.name, zones[z], false, plan_.machines_in(z, type.name)});
+  world::Cloud::Hooks hooks;
+  hooks.address = [this](const std::string& name) { return machine_addresses_[name]; };
+  cloud_ = std::make_unique<world::Cloud>(loop_, plan_.types(), capacity, plan_.site.list_lag_s, hooks);
+  cloud_->requests.set(plan_.site.cloud_rps, 2);
+  for (std::size_t z = 0; z < zones.size(); ++z) {
+    hosts_.push_back(std::make_unique<Host>());
+    for (const auto& type : plan_.types())
+      for (int i = 0; i < plan_.machines_in(z, type.name); ++i) {
+        auto facts = cloud_->add(type.name, zones[z], false);
+        machines_[facts.name] = facts;
+        hosts_.back()->to_boot.push_back(facts);
+      }
+  }
+  start_controllers();
+  start_hosts();
+  wait_for(
+      "the workers and a leader",
+      [this] {
+        return static_cast<int>(machine_addresses_.size()) >= plan_.workers && leader() < controllers_.size();
+      },
+      [this] { begin_load(); });
+}
+
+void ScaleRun::start_controllers() {
+  for (int i = 0; i < plan_.controllers; ++i) {
+    auto ip = fmt::format("127.0.1.{}", i + 1);
+    user_addresses_.emplace_back(ip);
+    peer_addresses_.emplace_back(ip);
+  }
+  std::vector<std::string> users, peers;
+  for (const auto& a : user_addresses_) users.push_back(a.text());
+  for (const auto& a : peer_addresses_) peers.push_back(a.text());
+  // Machines are a given of the run: nothing is rented or returned for load.
+  write_file(folder_ / "operator.textproto", "manage_fleet: false\n");
+  for (std::size_t i = 0; i < users.size(); ++i) {
+    auto role = std::make_unique<Role>();
+    role->label = fmt::format("c{:02}", i + 1);
+    role->log = folder_ / (role->label + ".log");
+    write_file(folder_ / (role->label + ".toml"),
+               controller_settings(plan_, i, users, peers, fmt::format("127.0.0.1:{}", state_counts_.port),
+                                   cloud_->address()));
+    controllers_.push_back(std::move(role));
+    start_controller(i);
+  }
+}
+
+void ScaleRun::start_controller(std::size_t number) {
+  Role& c = *controllers_[number];
+  c.process = std::make_unique<ChildProcess>(
+      std::vector<std::string>{programs_.controller, "--config", folder_ / (c.label + ".toml"), "--operator",
+                               folder_ / "operator.textproto"},
+      c.log);
+}
+
+void ScaleRun::start_hosts() {
+  std::string controllers;
+  for (std::size_t i = 0; i < controllers_.size(); ++i)
+    controllers += (i ? "," : "") + controllers_[i]->label + "=" + user_addresses_[i].text();
+  int network = 10 + static_cast<int>(std::random_device{}() % 200);
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    hosts_[i]->log = folder_ / fmt::format("host-{}.log", i);
+    std::vector<std::string> command{programs_.own,
+                                     plan_file_,
+                                     "--role",
+                                     "workers",
+                                     "--collector",
+                                     fmt::format("127.0.0.1:{}", collector_.port()),
+                                     "--host",
+                                     std::to_string(i),
+                                     "--network",
+                                     std::to_string(network),
+                                     "--controller-addresses",
+                                     controllers};
+    command.insert(command.end(), overrides_.begin(), overrides_.end());
+    hosts_[i]->process = std::make_unique<ChildProcess>(command, hosts_[i]->log);
+  }
+}
+
+// ---------------------------------------------------------------- what the other processes say
+
+void ScaleRun::serve(http::Server::ConnectionId id, const http::Request& request) {
+  auto body = codec::unpack(request.body);
+  if (request.target == "/host" && body)
+    if (auto report = parse_host_report(*body)) return host_report(id, *report);
+  if (request.target == "/state" && body) return state_report(id, parse_state_counts(*body));
+  collector_.respond(id, {400, "", 0, false});
+}
+
+void ScaleRun::host_report(http::Server::ConnectionId id, const HostReport& report) {
+  if (report.host < 0 || static_cast<std::size_t>(report.host) >= hosts_.size())
+    return collector_.respond(id, {400, "", 0, false});
+  Host& host = *hosts_[static_cast<std::size_t>(report.host)];
+  host.traffic = report.traffic;
+  host.workers = report.workers;
+  host.tasks = report.tasks;
+  for (const auto& event : report.events)
+    if (event.kind == MachineEvent::Kind::Up) machine_addresses_[event.machine] = event.why;
+  record_.add(report, machines_, yard_);
+  record_.apply();
+  HostOrders orders = std::exchange(host.orders, {});
+  std::size_t boots = std::min(host.to_boot.size(), kBootsAtOnce);
+  auto end = host.to_boot.begin() + static_cast<std::ptrdiff_t>(boots);
+  orders.boot.assign(host.to_boot.begin(), end);
+  host.to_boot.erase(host.to_boot.begin(), end);
+  collector_.respond(id, {200, codec::pack(to_wire(orders)), 0, false});
+}
+
+void ScaleRun::state_report(http::Server::ConnectionId id, StateCounts counts) {
+  state_.traffic = counts.traffic;
+  state_counts_ = std::move(counts);
+  collector_.respond(id, {200, "", 0, false});
+}
+
+std::size_t ScaleRun::leader() const {
+  for (std::size_t i = 0; i < controllers_.size(); ++i)
+    if (controllers_[i]->label == state_counts_.leader) return i;
+  return controllers_.size();
+}
+
+// ---------------------------------------------------------------- the course of the run
+
+void ScaleRun::begin_load() {
+  began_ = run_time();
+  std::map<std::string, std::string> addresses;
+  for (std::size_t i = 0; i < controllers_.size(); ++i)
+    addresses[controllers_[i]->label] = user_addresses_[i].text();
+  users_ = std::make_unique<world::Users>(loop_, addresses, record_, yard_);
+  measures_.set_window(began_ + plan_.warm_s, began_ + plan_.for_s);
+  submitting_ = true;
+  // The balancer probes each second; before its first answer nobody is healthy.
+  loop_.call_later(2 * world::kReadyEvery, [this] { submit_next(); });
+  loop_.call_later(plan_.warm_s, [this] { open_window(); });
+  loop_.call_later(plan_.for_s, [this] { close_window(); });
+  for (const auto& f : plan_.faults) loop_.call_later(f.at_s, [this, &f] { inject(f); });
+}
+
+void ScaleRun::submit_next() {
+  if (!submitting_ || over_) return;
+  int number = ++next_job_;
+  double cancel_after = -1;
+  if (jobs_.cancelled(number)) cancel_after = std::uniform_real_distribution<double>(0, plan_.run_s)(random_);
+  users_->submit(jobs_.job(number), cancel_after);
+  std::exponential_distribution<double> gap(plan_.jobs_per_s());
+  loop_.call_later(gap(random_), [this] { submit_next(); });
+}
+
+void ScaleRun::open_window() {
+  leader_at_start_ = leader();
+  ask_for_traffic();
+  loop_.call_later(kTrafficPatience, [this] {
+    window_from_ = run_time();
+    for (auto& c : controllers_) read_traffic(*c);
+    for (auto* role : roles()) {
+      read_usage(*role, true);
+      role->at_start = role->used;
+      role->at_start.cpu_s += role->cpu_before;
+      role->traffic_at_start = role->traffic;
+    }
+    state_at_start_ = state_counts_;
+  });
+}
+
+void ScaleRun::close_window() {
+  submitting_ = false;
+  leader_at_end_ = leader();
+  ask_for_traffic();
+  loop_.call_later(kTrafficPatience, [this] {
+    window_to_ = run_time();
+    for (auto& c : controllers_) read_traffic(*c);
+    for (auto* role : roles()) {
+      read_usage(*role, true);
+      role->used.cpu_s += role->cpu_before;
+    }
+    drain();
+  });
+}
+
+/// Until every job is over, or the plan's patience is.
+void ScaleRun::drain() {
+  if (over_) return;
+  int tasks =
+      std::accumulate(hosts_.begin(), hosts_.end(), 0, [](int n, const auto& h) { return n + h->tasks; });
+  bool idle = tasks == 0 && record_.checker().open(yard_).empty();
+  if (idle || seconds() > plan_.for_s + plan_.drain_s) return finish();
+  loop_.call_later(kProgressEvery / 5, [this] { drain(); });
+}
+
+void ScaleRun::finish() {
+  if (std::exchange(over_, true)) return;
+  for (const auto& open : record_.checker().open(yard_))
+    std::cerr << fmt::format("at the end {} ({}, {} tasks) still waits for {} starts\n", open.work->spec.id,
+                             open.work->spec.job_class, open.work->spec.tasks, open.waiting);
+  record_.apply();
+  record_.checker().finish();
+  done_();
+}
+
+void ScaleRun::fail(const std::string& why) {
+  if (std::exchange(over_, true)) return;
+  failure_ = why + fmt::format(" (logs: {})", folder_.string());
+  done_();
+}
+
+// ---------------------------------------------------------------- faults
+
+void ScaleRun::inject(const Fault& f) {
+  if (over_) return;
+  std::cerr << fmt::format("{:6.1f} s  fault: {} ({})\n", seconds(), Fault::name(f.kind), f.count);
+  measures_.fault(Fault::name(f.kind), run_time());
+  std::size_t leading = leader();
+  switch (f.kind) {
+    case Fault::Kind::LeaderKilled:
+      if (leading < controllers_.size()) restart_controller(leading);
+      return;
+    case Fault::Kind::FollowerKilled:
+      return restart_controller((leading + 1) % controllers_.size());
+    case Fault::Kind::WorkersGone:
+      return lose_machines(f.count, "died", false);
+    case Fault::Kind::RackRestarted:
+      return lose_machines(f.count, "restarted", true);
+    case Fault::Kind::ControllersRestarted:
+      for (std::size_t i = 0; i < controllers_.size(); ++i)
+        loop_.call_later(kRollEvery * static_cast<double>(i), [this, i] { restart_controller(i); });
+      return;
+  }
+}
+
+void ScaleRun::restart_controller(std::size_t number) {
+  Role& c = *controllers_[number];
+  if (over_ || !c.process) return;
+  read_usage(c, false);
+  c.cpu_before += c.used.cpu_s;
+  c.used.cpu_s = 0;
+  c.process.reset();
+  ++c.restarts;
+  loop_.call_later(kRestartDelay, [this, number] {
+    if (!over_) start_controller(number);
+  });
+}
+
+/// Machines of one zone, which is what a rack or a switch takes down; those that come back have new names, as
+/// rented ones have.
+void ScaleRun::lose_machines(int count, const std::string& why, bool come_back) {
+  auto zones = plan_.zone_names();
+  std::size_t zone = random_() % static_cast<std::size_t>(plan_.zones);
+  std::vector<world::MachineFacts> lost;
+  for (std::size_t tried = 0; tried < static_cast<std::size_t>(plan_.zones); ++tried, ++zone) {
+    zone %= static_cast<std::size_t>(plan_.zones);
+    Host& host = *hosts_[zone];
+    for (const auto& [name, address] : machine_addresses_) {
+      if (static_cast<int>(lost.size()) == count) break;
+      if (machines_.at(name).zone != zones[zone]) continue;
+      lost.push_back(machines_.at(name));
+      host.orders.lose.push_back(name);
+      host.orders.why_lost = why;
+    }
+  }
+  for (const auto& facts : lost) {
+    machine_addresses_.erase(facts.name);
+    cloud_->died(facts.name);
+  }
+  if (!come_back) return;
+  loop_.call_later(kRackBack, [this, lost, zones] {
+    for (const auto& old : lost) {
+      auto facts = cloud_->add(old.type.name, old.zone, false);
+      machines_[facts.name] = facts;
+      auto at = std::find(zones.begin(), zones.end(), old.zone) - zones.begin();
+      hosts_[static_cast<std::size_t>(at)]->to_boot.push_back(facts);
+    }
+  });
+}
+
+// ---------------------------------------------------------------- measuring
+
+std::vector<ScaleRun::Role*> ScaleRun::roles() {
+  std::vector<Role*> out{&state_};
+  for (auto& c : controllers_) out.push_back(c.get());
+  for (auto& h : hosts_) out.push_back(h.get());
+  return out;
+}
+
+void ScaleRun::read_usage(Role& role, bool count_files) {
+  auto usage = role.process ? role.process->usage(count_files) : std::nullopt;
+  if (!usage) return;
+  role.peak_mb = std::max(role.peak_mb, usage->peak_mb);
+  role.most_files = std::max(role.most_files, usage->files);
+  role.used = *usage;
+}
+
+/// Memory of all processes together, and sockets, while the window is open.
+void ScaleRun::sample() {
+  if (over_) return;
+  bool count_files = ++samples_ % 8 == 0;
+  double memory = 0;
+  if (!window_to_)
+    for (auto* role : roles()) {
+      read_usage(*role, count_files);
+      memory += role->used.now_mb;
+    }
+  std::ifstream statm("/proc/self/statm");
+  double pages = 0;
+  statm >> pages >> pages;
+  memory += pages * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1024 * 1024);
+  peak_mb_ = std::max(peak_mb_, memory);
+  for (auto* role : roles())
+    if (role->process && !role->process->running())
+      return fail(fmt::format("a process has ended by itself, see {}", role->log));
+  loop_.call_later(kSampleEvery, [this] { sample(); });
+}
+
+void ScaleRun::ask_for_traffic() {
+  for (auto& c : controllers_)
+    if (c->process) c->process->signal(SIGUSR1);
+}
+
+/// The last line of a controller's log that says what it has sent and served. Counts begin anew with each
+/// life.
+void ScaleRun::read_traffic(Role& role) const {
+  std::ifstream log(role.log);
+  std::string line, last;
+  while (std::getline(log, line))
+    if (line.find("traffic [") != std::string::npos) last = line;
+  auto at = last.find('{');
+  if (at == std::string::npos) return;
+  auto parsed = Json::parse(last.substr(at), nullptr, false);
+  if (parsed.is_object()) role.traffic = std::move(parsed);
+}
+
+void ScaleRun::progress() {
+  if (over_) return;
+  int workers = 0, tasks = 0;
+  for (const auto& h : hosts_) workers += h->workers, tasks += h->tasks;
+  std::cerr << fmt::format(
+      "{:6.1f} s  {} of {} workers, {} tasks on them, {} jobs submitted, {} starts, leader {}\n",
+      began_ > 0 ? seconds() : 0, workers, plan_.workers, tasks, next_job_, record_.checker().starts(),
+      state_counts_.leader.empty() ? "none" : state_counts_.leader);
+  loop_.call_later(kProgressEvery, [this] { progress(); });
+}
+
+// ---------------------------------------------------------------- the account
+
+std::vector<std::string> ScaleRun::problems() const {
+  if (!failure_.empty()) return {"run: " + failure_};
+  auto out = record_.checker().broken();
+  auto shares = [&](const char* what, const std::map<std::string, world::Checker::Share>& all) {
+    for (const auto& [name, s] : all)
+      if (s.served() < kServed)
+        out.push_back(
+            fmt::format("served: {} {} only {:.2f} of {} jobs", what, name, s.served(), s.submitted));
+  };
+  shares("class", record_.checker().by_class());
+  shares("team", record_.checker().by_team());
+  return out;
+}
+
+Json ScaleRun::role_account(const std::vector<const Role*>& of) const {
+  double seconds = std::max(1e-9, window_to_ - window_from_), cpu = 0, most_cpu = 0, peak = 0;
+  int files = 0;
+  Json traffic = Json::object(), before = Json::object();
+  for (const auto* role : of) {
+    double used = (role->used.cpu_s - role->at_start.cpu_s) / seconds;
+    cpu += used;
+    most_cpu = std::max(most_cpu, used);
+    peak = std::max(peak, role->peak_mb);
+    files = std::max(files, role->most_files);
+    if (role->restarts) continue;  // its counts began anew
+    add_traffic(traffic, role->traffic);
+    add_traffic(before, role->traffic_at_start);
+  }
+  return {{"processes", of.size()},           {"cores", cpu},
+          {"cores_of_the_busiest", most_cpu}, {"peak_mb_of_the_largest", peak},
+          {"most_open_files_of_one", files},  {"per_second", per_second(traffic, before, seconds)}};
+}
+
+Json ScaleRun::state_account() const {
+  double seconds = std::max(1e-9, window_to_ - window_from_);
+  Json out = role_account({&state_});
+  double changes = 0;
+  Json kinds = Json::object();
+  for (const auto& [kind, count] : state_counts_.changes_by_kind) {
+    auto before = state_at_start_.changes_by_kind.find(kind);
+    double rate = (count - (before == state_at_start_.changes_by_kind.end() ? 0 : before->second)) / seconds;
+    kinds[kind] = rate;
+    changes += rate;
+  }
+  out["changes_per_s"] = changes;
+  out["changes_per_s_by_kind_of_key"] = kinds;
+  out["changes_per_start"] = changes / std::max(1e-9, measures_.starts() / seconds);
+  out["requests_per_s"] = (state_counts_.served - state_at_start_.served) / seconds;
+  out["over_rate"] = state_counts_.over_rate;
+  out["keys"] = state_counts_.keys;
+  return out;
+}
+
+Json ScaleRun::account() const {
+  std::vector<const Role*> leads, others, hosts, singles;
+  for (std::size_t i = 0; i < controllers_.size(); ++i)
+    (i == leader_at_start_ ? leads : others).push_back(controllers_[i].get());
+  for (std::size_t i = 0; i < hosts_.size(); ++i)
+    (i < static_cast<std::size_t>(plan_.zones) ? hosts : singles).push_back(hosts_[i].get());
+  Json served = Json::object();
+  for (const auto& [name, s] : record_.checker().by_class())
+    served[name] = {{"submitted", s.submitted}, {"done", s.done}, {"served", s.served()}};
+  double least = 1;
+  for (const auto& [name, s] : record_.checker().by_team()) least = std::min(least, s.served());
+  return {{"plan", plan_.name},
+          {"seed", plan_.seed},
+          {"hollow", true},
+          {"workers", plan_.workers},
+          {"zones", plan_.zones},
+          {"controllers", plan_.controllers},
+          {"teams", plan_.teams},
+          {"running_tasks_wanted", plan_.running_tasks()},
+          {"starts_per_s_wanted", plan_.starts_per_s},
+          {"jobs_per_s", plan_.jobs_per_s()},
+          {"window_s", window_to_ - window_from_},
+          {"leader_changed", leader_at_start_ != leader_at_end_},
+          {"users", measures_.to_json()},
+          {"roles",
+           {{"leader", role_account(leads)},
+            {"other_controllers", role_account(others)},
+            {"state_service", state_account()},
+            {"hollow_workers", role_account(hosts)},
+            {"single_workers", role_account(singles)}}},
+          {"peak_mb_of_all", peak_mb_},
+          {"classes", served},
+          {"least_served_team", least},
+          {"problems", problems()}};
+}
+
+std::string ScaleRun::account_text() const {
+  auto a = account();
+  std::string out =
+      fmt::format("{}: {} hollow workers, {} controllers, {} teams; window of {:.0f} s\n", plan_.name,
+                  plan_.workers, plan_.controllers, plan_.teams, window_to_ - window_from_);
+  for (const auto& [name, r] : a["roles"].items())
+    if (r["processes"].get<int>() > 0)
+      out += fmt::format(
+          "  {:<18} {:>3} processes, {:.3f} cores (busiest {:.3f}), {:.1f} MB, {} open files\n", name,
+          r["processes"].get<int>(), r["cores"].get<double>(), r["cores_of_the_busiest"].get<double>(),
+          r["peak_mb_of_the_largest"].get<double>(), r["most_open_files_of_one"].get<int>());
+  const auto& state = a["roles"]["state_service"];
+  const auto& users = a["users"];
+  out += fmt::format(
+      "  state service: {:.1f} requests and {:.1f} changes a second, {:.2f} changes a start, {} over its "
+      "rate\n",
+      state["requests_per_s"].get<double>(), state["changes_per_s"].get<double>(),
+      state["changes_per_start"].get<double>(), state["over_rate"].get<std::uint64_t>());
+  out += fmt::format("  {:.1f} starts a second, at most {} tasks on machines, longest pause {:.2f} s\n",
+                     users["starts_per_s"].get<double>(), users["most_tasks_on_machines"].get<int>(),
+                     users["longest_pause_s"].get<double>());
+  out += fmt::format(
+      "  accepted in {:.3f} s (half), {:.3f} s (19 of 20); urgent running in {:.3f} s, {:.3f} s, {:.3f} "
+      "within {} s\n",
+      users["accepted_in"]["p50_s"].get<double>(), users["accepted_in"]["p95_s"].get<double>(),
+      users["urgent_running_in"]["p50_s"].get<double>(), users["urgent_running_in"]["p95_s"].get<double>(),
+      users["urgent_running_in"]["share_within_aim"].get<double>(), kUrgentWithin);
+  for (const auto& p : users["pauses"])
+    out += fmt::format("  {} at {:.1f} s: longest pause {:.2f} s\n", p["fault"].get<std::string>(),
+                       p["at_s"].get<double>(), p["longest_pause_s"].get<double>());
+  out += fmt::format("  peak memory of all processes together: {:.0f} MB\n", peak_mb_);
+  for (const auto& p : problems()) out += "  WRONG: " + p + "\n";
+  if (good()) out += "  every rule held, every class and team was served\n";
+  return out;
+}
+
+}  // namespace corkmux::scale
--- a/src/world/state_service.cc
+++ b/src/world/state_service.cc
@@ -170,6 +170,8 @@
   if (body["writes"].empty()) return;
   ++epoch_;
   for (const auto& w : body["writes"]) {
+    const auto& changed = w[w.contains("remove") ? "remove" : "write"].get_ref<const std::string&>();
+    ++changes_by_kind[changed.substr(0, changed.find('/'))];
     if (w.contains("remove")) {
       erase(w["remove"].get<std::string>());
       continue;
--- a/src/world/worker.cc
+++ b/src/world/worker.cc
@@ -220,7 +220,7 @@
   }
   Json warning;
   if (notice_at_ > 0) warning = std::max(0.0, notice_at_ - steady_now());
-  return {{"host", facts_.name},       {"address", ip_ + ":" + std::to_string(server_.port())},
+  return {{"host", facts_.name},       {"address", address()},
           {"build", facts_.type.name}, {"room", facts_.zone},
           {"lendable", facts_.spot},   {"watch", session_},
           {"tick", ++tick_},           {"baton", token_},
--- a/src/world/worker.h
+++ b/src/world/worker.h
@@ -30,6 +30,8 @@
   Worker(Loop& loop, MachineFacts facts, WorkerTimes times, std::map<std::string, std::string> controllers,
          Yard& yard, const std::string& listen);
   ~Worker();
+  /// Where it takes orders, host:port.
+  std::string address() const { return ip_ + ":" + std::to_string(server_.port()); }
   int tasks() const { return static_cast<int>(tasks_.size()); }
   int running() const;
   const MachineFacts& facts() const { return facts_; }
--- a/src/world/world_constants.h
+++ b/src/world/world_constants.h
@@ -23,7 +23,10 @@
 inline constexpr double kStateSlowShare = 0.005;  // of answers that take longer
 inline constexpr double kStateSlow = 0.25;        // s; a few hundred ms (PROTOCOL)
 
+inline constexpr std::size_t kStateConnections = 2000;  // a door takes; twenty controllers open some 260
+
 // --- cloud ---
+inline constexpr std::size_t kCloudConnections = 200;  // it takes; three of each controller
 inline constexpr double kCloudAnswer = 0.05;  // s
 inline constexpr double kDeadListed = 30;     // s a dead machine is still listed as running (PROTOCOL)
 inline constexpr double kNeverUp = 0.01;      // of rented machines; "a few" (PROTOCOL)
--- a/src/world/yard.h
+++ b/src/world/yard.h
@@ -40,6 +40,28 @@
   virtual void done(const Work&, int /*index*/) {}
 };
 
+/// Is told what users ask and what they are answered. Times are s on the clock of whoever tells.
+class UserWitness {
+ public:
+  virtual ~UserWitness() = default;
+  virtual void submitted(const JobSpec& spec) = 0;
+  /// status of a submission; 0: none.
+  virtual void answered_submission(const std::string& job, int status, const std::string& phase,
+                                   double asked_at) = 0;
+  virtual void gave_up(const std::string& job) = 0;
+  virtual void asks_to_cancel(const std::string& job) = 0;
+  /// An answer to a question that was on its way before another answer came may be older than that.
+  virtual void answered_cancel(const std::string& job, int status, const std::string& phase,
+                               double asked_at) = 0;
+  virtual void answered_poll(const std::string& job, int status, const std::string& phase,
+                             double asked_at) = 0;
+  /// A question that counts for what it says alone; or a cancel of what is done.
+  virtual void answered_look(const std::string& job, int status, const std::string& phase,
+                             double asked_at) = 0;
+  /// A submission that has to be refused with the wanted status.
+  virtual void answered_odd(const std::string& job, int status, int wanted) = 0;
+};
+
 class Yard {
  public:
   /// `now`: one clock for all machines, s.
