--- a/src/base/types.h
+++ b/src/base/types.h
@@ -30,8 +30,9 @@
     return std::max(0, static_cast<int>(n + 1e-6));
   }
   bool fits(const Resources& room) const {
-    constexpr double e = 1e-6;
-    return cpus <= room.cpus + e && gpus <= room.gpus + e && memory_gb <= room.memory_gb + e;
+    constexpr double kRounding = 1e-6;
+    return cpus <= room.cpus + kRounding && gpus <= room.gpus + kRounding &&
+           memory_gb <= room.memory_gb + kRounding;
   }
 };
 
@@ -107,13 +108,14 @@
   std::string name;
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0 as a limit: none
   bool allows(const Resources& use) const {
-    constexpr double e = 1e-6;
-    return (cpus_max <= 0 || use.cpus <= cpus_max + e) && (gpus_max <= 0 || use.gpus <= gpus_max + e);
+    constexpr double kRounding = 1e-6;
+    return (cpus_max <= 0 || use.cpus <= cpus_max + kRounding) &&
+           (gpus_max <= 0 || use.gpus <= gpus_max + kRounding);
   }
   /// Whether that is all within what the team is guaranteed. Accelerators count where they are metered.
   bool guarantees(const Resources& use) const {
-    constexpr double e = 1e-6;
-    return use.cpus <= cpus + e && ((gpus <= 0 && gpus_max <= 0) || use.gpus <= gpus + e);
+    constexpr double kRounding = 1e-6;
+    return use.cpus <= cpus + kRounding && ((gpus <= 0 && gpus_max <= 0) || use.gpus <= gpus + kRounding);
   }
 };
 
--- a/src/book/reclaim.cc
+++ b/src/book/reclaim.cc
@@ -17,8 +17,8 @@
   bool allowed(const ReclaimInput::Unit& u) const {
     Resources all = total(u);
     const Resources& left = beyond_[static_cast<std::size_t>(u.team)];
-    constexpr double e = 1e-6;
-    return all.cpus <= left.cpus + e && all.gpus <= left.gpus + e;
+    constexpr double kRounding = 1e-6;
+    return all.cpus <= left.cpus + kRounding && all.gpus <= left.gpus + kRounding;
   }
   void take(const ReclaimInput::Unit& u) { change(u, 1); }
   void put_back(const ReclaimInput::Unit& u) { change(u, -1); }
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -139,10 +139,14 @@
 
 void check_choices(const OperatorChoices& choices, const Settings& settings) {
   if (!choices.kubernetes) return;
-  for (const auto& [space, team] : choices.kubernetes->teams)
-    if (std::none_of(settings.teams.begin(), settings.teams.end(),
-                     [&](const Team& t) { return t.name == team; }))
-      throw SettingsError("kubernetes.namespace " + space + ": there is no team '" + team + "'");
+  for (const auto& entry : choices.kubernetes->teams) {
+    const std::string& team = entry.second;
+    bool known = std::any_of(settings.teams.begin(), settings.teams.end(),
+                             [&](const Team& t) { return t.name == team; });
+    if (known) continue;
+    std::string what = "kubernetes.namespace " + entry.first;
+    throw SettingsError(what.append(": there is no team '").append(team).append("'"));
+  }
 }
 
 OperatorChoices load_operator(const std::string& file) {
--- a/src/controller/gateway.cc
+++ b/src/controller/gateway.cc
@@ -529,8 +529,9 @@
 }
 
 void Gateway::forward(Report r, const std::string& body, PassReply reply) {
-  forwarder_.tell([r = std::move(r), body, reply = std::move(reply)](serving::ReportForwarder& f) mutable {
-    f.forward(r, std::move(body), std::move(reply));
+  forwarder_.tell([r = std::move(r), bytes = std::string(body),
+                   reply = std::move(reply)](serving::ReportForwarder& f) mutable {
+    f.forward(r, std::move(bytes), std::move(reply));
   });
 }
 
--- a/src/controller/mail.cc
+++ b/src/controller/mail.cc
@@ -131,7 +131,8 @@
   auto size = item.dump().size() + 1;
   // One that no record has room for would only be refused; one that would be late only holds up those behind
   // it.
-  double wait = pause_ * static_cast<double>(box.bytes / room_);
+  std::size_t full_records = box.bytes / room_;  // that go before it
+  double wait = pause_ * static_cast<double>(full_records);
   if (size > room_ || wait > c::kMailTimeout / 2) return give_up(item);
   box.bytes += size;
   box.items.push_back({std::move(item), size, steady_now()});
--- a/src/kube/selector.cc
+++ b/src/kube/selector.cc
@@ -9,6 +9,8 @@
 using namespace tao::pegtl;
 using Op = Requirement::Op;
 
+// Rules bear the names of the grammar, as is the custom with PEGTL.
+// NOLINTBEGIN(readability-identifier-naming)
 struct blanks : star<blank> {};
 struct word : plus<sor<alnum, one<'-', '_', '.'>>> {};
 struct key : seq<word, opt<one<'/'>, word>> {};
@@ -65,6 +67,7 @@
 template <>
 struct action<one_value> : action<value> {};
 
+// NOLINTEND(readability-identifier-naming)
 }  // namespace
 
 std::optional<std::vector<Requirement>> parse_selector(std::string_view text) {
--- a/src/leader/cloud_fleet.cc
+++ b/src/leader/cloud_fleet.cc
@@ -63,7 +63,8 @@
   // A request without an answer is repeated under its name, so that nothing is rented twice.
   if (fresh)
     it->second = {"r-" + std::to_string(term_.number) + "-" + std::to_string(++requests_), wish.count};
-  auto [request, count] = it->second;
+  std::string request = it->second.first;
+  int count = it->second.second;
   in_flight_.insert(wish.key());
   cloud_.request("POST", codec::kRentPath,
                  codec::pack(codec::rent_request(request, wish.type, wish.zone, wish.spot, count)),
--- a/src/scale/scale_run.cc
+++ b/src/scale/scale_run.cc
@@ -35,7 +35,9 @@
 
 Json per_second(const Json& now, const Json& before, double seconds) {
   Json out = Json::object();
-  for (const auto& [kind, counts] : now.items()) {
+  for (const auto& entry : now.items()) {
+    const auto& kind = entry.key();
+    const auto& counts = entry.value();
     auto was = before.value(kind, Json{0, 0, 0});
     auto rate = [&](std::size_t i) { return (counts[i].get<double>() - was[i].get<double>()) / seconds; };
     if (rate(0) > 0) out[kind] = {{"messages", rate(0)}, {"bytes_in", rate(1)}, {"bytes_out", rate(2)}};
@@ -265,6 +267,7 @@
     window_from_ = run_time();
     for (auto& c : controllers_) read_traffic(*c);
     for (auto* role : roles()) {
+      role->most_files_before = std::exchange(role->most_files, 0);
       read_usage(*role, true);
       role->at_start = role->used;
       role->at_start.cpu_s += role->cpu_before;
@@ -469,7 +472,7 @@
 
 Json ScaleRun::role_account(const std::vector<const Role*>& of) const {
   double seconds = std::max(1e-9, window_to_ - window_from_), cpu = 0, most_cpu = 0, peak = 0;
-  int files = 0;
+  int files = 0, files_before = 0;
   Json traffic = Json::object(), before = Json::object();
   for (const auto* role : of) {
     double used = (role->used.cpu_s - role->at_start.cpu_s) / seconds;
@@ -477,13 +480,18 @@
     most_cpu = std::max(most_cpu, used);
     peak = std::max(peak, role->peak_mb);
     files = std::max(files, role->most_files);
+    files_before = std::max(files_before, role->most_files_before);
     if (role->restarts) continue;  // its counts began anew
     add_traffic(traffic, role->traffic);
     add_traffic(before, role->traffic_at_start);
   }
-  return {{"processes", of.size()},           {"cores", cpu},
-          {"cores_of_the_busiest", most_cpu}, {"peak_mb_of_the_largest", peak},
-          {"most_open_files_of_one", files},  {"per_second", per_second(traffic, before, seconds)}};
+  return {{"processes", of.size()},
+          {"cores", cpu},
+          {"cores_of_the_busiest", most_cpu},
+          {"peak_mb_of_the_largest", peak},
+          {"most_open_files_of_one", files},
+          {"most_open_files_before_window", files_before},
+          {"per_second", per_second(traffic, before, seconds)}};
 }
 
 Json ScaleRun::state_account() const {
--- a/src/scale/scale_run.h
+++ b/src/scale/scale_run.h
@@ -45,7 +45,7 @@
     std::string label, log;
     ProcessUsage used, at_start;  // latest, and as the window began
     double peak_mb = 0, cpu_before = 0;
-    int most_files = 0, restarts = 0;
+    int most_files = 0, most_files_before = 0, restarts = 0;  // open, in the window and before it
     codec::Json traffic = codec::Json::object(), traffic_at_start = codec::Json::object();
   };
   struct Host : Role {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -250,12 +250,12 @@
   if (path == "/ready") return {method == "GET" ? Route::Ready : Route::WrongMethod, ""};
   if (path == "/v1/report") return {method == "POST" ? Route::Report : Route::WrongMethod, ""};
   if (path == "/work") return {method == "POST" ? Route::Submit : Route::WrongMethod, ""};
-  constexpr std::string_view work = "/work/", withdraw = "/withdraw";
-  if (path.substr(0, work.size()) != work) return {};
-  auto rest = path.substr(work.size());
-  if (rest.size() > withdraw.size() && rest.substr(rest.size() - withdraw.size()) == withdraw)
+  constexpr std::string_view kWork = "/work/", kWithdraw = "/withdraw";
+  if (path.substr(0, kWork.size()) != kWork) return {};
+  auto rest = path.substr(kWork.size());
+  if (rest.size() > kWithdraw.size() && rest.substr(rest.size() - kWithdraw.size()) == kWithdraw)
     return {method == "POST" ? Route::Cancel : Route::WrongMethod,
-            std::string(rest.substr(0, rest.size() - withdraw.size()))};
+            std::string(rest.substr(0, rest.size() - kWithdraw.size()))};
   if (rest.empty() || rest.find('/') != std::string_view::npos) return {};
   return {method == "GET" ? Route::Query : Route::WrongMethod, std::string(rest)};
 }
--- a/src/world/worker.cc
+++ b/src/world/worker.cc
@@ -249,6 +249,8 @@
 }
 
 void Worker::serve(http::Server::ConnectionId id, http::Request r) {
+  // Guards against a machine that starts tasks after its end, where it is not freed at once: it is silent.
+  if (dead_) return;
   expire();
   auto body = codec::unpack(r.body).value_or(Json::object());
   int status = 200;
--- a/tests/scale_run_test.cc
+++ b/tests/scale_run_test.cc
@@ -148,6 +148,42 @@
   EXPECT_EQ(record_.checker().starts(), 1);
 }
 
+struct CountsStarts : world::Witness {
+  int starts = 0;
+  void on(const std::string&, const std::string&, const std::string&, bool, const world::Work&, int,
+          std::uint64_t) override {
+    ++starts;
+  }
+};
+
+/// A run whose machines took orders after their end looked as if tasks had run twice.
+TEST(HollowWorker, TakesNoOrdersAfterItsEnd) {
+  Loop loop;
+  CountsStarts witness;
+  world::Yard yard(loop, 5, witness);
+  world::Work work;
+  work.spec.id = "run-000001", work.spec.tasks = 2, work.spec.image_gb = 0;
+  yard.add(std::move(work));
+  MachineType type;
+  type.name = "plain", type.size = {32, 0, 128};
+  world::Worker worker(loop, {"n-1", type, "zone-1"}, {}, {{"c1", "127.0.0.1:1"}}, yard, "127.0.0.1:0");
+  auto launch = [&](int index) {
+    http::Client client(loop, worker.address(), 1, 1);
+    bool over = false;
+    auto orders = codec::commands_to_wire(9, {{Command::Op::Start, "run-000001", index, 1, 0}}, 1);
+    client.request("POST", codec::kOrdersPath, codec::pack(orders), 0.3, [&](http::Result) { over = true; });
+    while (!over) loop.run_once();
+    bool waited = false;
+    loop.call_later(0.2, [&] { waited = true; });
+    while (!waited) loop.run_once();
+  };
+  launch(0);
+  EXPECT_EQ(witness.starts, 1);
+  worker.die("died");
+  launch(1);
+  EXPECT_EQ(witness.starts, 1);
+}
+
 int run_program(const std::string& arguments, std::string* output) {
   auto command = std::string(SCALE_PROGRAM) + " " + arguments + " 2>&1";
   FILE* pipe = ::popen(command.c_str(), "r");
