review: a script ends by itself, whatever its tasks do

Cause: asyncio's end waits for tasks that missed their cancellation, so 2 runs of case 1 wrote their result and did not exit. Change: the script ends its processes and exits at once, after 118 s at the latest.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -7,6 +7,7 @@
 import bisect
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -691,6 +692,9 @@
 
 # ---------------------------------------------------------------- controllers
 
+STARTED = []    # every process that was started
+
+
 class Controllers:
     def __init__(self, record, folder, settings, zones, state_port, cloud_port, count=3):
         """state_port, cloud_port: the service's port, or a list with one for each controller."""
@@ -719,6 +723,7 @@
         self.processes[i] = subprocess.Popen(
             self.run + [os.path.join(self.folder, "c-%d.toml" % i)], cwd=ROOT, stdin=subprocess.DEVNULL,
             stdout=self.logs[i], stderr=self.logs[i], env=dict(os.environ, LOG_LEVEL="info"))
+        STARTED.append(self.processes[i])
         self.record("controller c-%d started" % i)
 
     def kill(self, i):
@@ -770,25 +775,36 @@
 
 
 def run_case(main, folder):
-    """Runs main(record, temporary folder) and exits with its result; 2: it could not run."""
+    """Runs main(record, temporary folder) and exits with its result; 2: it could not run, or took over 118 s.
+
+    The process ends here and not through asyncio, whose end waits for tasks that may have missed their cancellation.
+    """
     record = Record(os.path.join(folder, "record.txt"))
-    result = 2
+    temporary = tempfile.mkdtemp()
     errors = []
 
-    async def guarded(temporary):
-        asyncio.get_running_loop().set_exception_handler(
-            lambda loop, context: errors.append(context.get("exception") or context["message"]))
-        result = await asyncio.wait_for(main(record, temporary), 118)
-        if errors:
-            record("an error in a stand-in: %r" % errors[0])
-            return 2
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        return result
-
-    with tempfile.TemporaryDirectory() as temporary:
+    def end(result):
+        for process in STARTED:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        shutil.rmtree(temporary, ignore_errors=True)
+        record("exit %d" % result)
+        os._exit(result)
+
+    async def guarded():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, context: errors.append(context.get("exception") or context["message"]))
+        loop.call_later(118, end, 2)
         try:
-            result = asyncio.run(guarded(temporary))
+            result = await main(record, temporary)
         except Exception as e:  # noqa: BLE001
             record("the case could not run: %s: %s" % (type(e).__name__, e))
-    record("exit %d" % result)
-    os._exit(result)    # every process that was started has ended; open connections need no orderly end
+            result = 2
+        if errors:
+            record("an error in a stand-in: %r" % errors[0])
+            result = 2
+        end(result)
+
+    asyncio.run(guarded())
