--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -228,18 +228,21 @@
             self.streams = None
 
 
+next_port = 12000 + os.getpid() % 200 * 100
+
+
 def free_ports(count):
-    """Free ports below those that the system gives to outgoing connections."""
+    """Free ports below those that the system gives to outgoing connections, from a block for this process."""
+    global next_port
     ports = []
     while len(ports) < count:
-        port = random.randrange(12000, 32000)
+        port, next_port = next_port, next_port + 1
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        ports.append(port)
     return ports
 
 
@@ -674,7 +677,9 @@
             self.held = launches
             self.record("%s: direct command (token %d, launch %s) is held up on its way for %.1f s"
                         % (self.host, body["baton"], launches, hold))
-            await asyncio.shield(asyncio.sleep(hold))
+            await asyncio.sleep(hold)
+            if not self.on:
+                return None
             answer = self.direct(body)
             self.record("%s: the held command arrives, token %d, highest seen %d: %s"
                         % (self.host, body["baton"], self.baton,
@@ -683,6 +688,8 @@
         return self.direct(body)
 
     def direct(self, body):
+        if not self.on:
+            return None
         if body["baton"] < self.baton or body["watch"] != self.watch:
             return 409, self.report()
         self.baton = body["baton"]
