--- a/review/2/case.py
+++ b/review/2/case.py
@@ -100,7 +100,7 @@
                 status, _ = await Client(controllers.nodes[i][1]).request("GET", "/ready", timeout=1.0)
                 record("controller c-%d runs, /ready: %s" % (i, status))
         for i in range(3):
-            status, answer = await Client(controllers.nodes[i][1]).request("GET", "/work/" + first["ref"])
+            status, answer = await Client(controllers.nodes[i][1]).request("GET", "/work" + "/" + first["ref"])
             record("run-000001 asked at c-%d: %s %s" % (i, status or "no response", answer))
         return 1 if broken else 0
     finally:
