A long term's fencing tokens no longer start over

Cause: a token is term*2^20 + n, and n was a counter without a bound, joined to the term by a bitwise or. Past 2^20 it ran into the term's bits: the numbers of an odd term started over, those of an even one became the next term's. The worker's token was then above the one required of it, so every heartbeat counted as proof of absence. Numbers were used up within minutes because each waiting array took one in every cycle.

Change: - A job that waits takes no number. - SequenceNumbers bounds the counter. When a quarter is left, the leader reserves the next term in the store, conditioned on its own record and on `term`, and numbers on in it without a failover. The layout of tokens and records is unchanged, so both versions obey each other's tokens in an upgrade and on the way back: a candidate of either reads `term` anew and claims a higher one. - Out of numbers a leader places nothing and believes no absence. - A worker's first heartbeat of a term cannot have a token of that term, and later none above all issued: it is another leader's (of a former version whose numbers ran over), proves nothing, and makes the leader begin a higher term. - Same cause: ids of relayed command batches get 40 bits; an unreadable stored term counted as 0 and is now refused, as is the last term (2^44 - 2); the number of scale-out requests is 64 bits wide.

The mutation "a term is used twice" also turns off the recognition of the other leader's tokens, which otherwise ends the second use and hides the mutation.

--- a/src/common/constants.h
+++ b/src/common/constants.h
@@ -20,5 +20,7 @@
 /// bits of a fencing token or attempt number that the leader numbers itself; the bits above are the term,
 /// which the state store counts.
 inline constexpr int kTermShift = 20;
+/// The highest term whose tokens are 64-bit numbers, with room for those of terms reserved while it leads.
+inline constexpr std::uint64_t kLastTerm = (std::uint64_t{1} << (64 - kTermShift)) - 2;
 
 }  // namespace corkmux::constants
--- a/src/leader/command_dispatcher.cc
+++ b/src/leader/command_dispatcher.cc
@@ -41,7 +41,7 @@
       own_label_(settings.label),
       connections_(loop, static_cast<std::size_t>(settings.max_connections * c::kCommandConnectionShare)),
       // Ids contain the term, so that an outcome of an earlier term matches no command of this one.
-      last_id_(term.number << c::kTermShift) {}
+      last_id_(term.number << kCommandIdTermShift) {}
 
 void CommandDispatcher::flush() {
   for (const auto& machine : scheduler_.machines_with_commands()) send(machine);
--- a/src/leader/command_dispatcher.h
+++ b/src/leader/command_dispatcher.h
@@ -88,6 +88,9 @@
   std::unordered_map<std::string, std::string> forwarders_;               // by machine
   std::map<std::string, std::vector<fanin::ForwardedCommands>> batches_;  // by forwarder; unposted
   std::map<std::uint64_t, RelayedCommands> relayed_;                      // by id
+  /// Bits of an id for the batches of one term. The term's own upper bits drop out: ids have to differ from
+  /// those of recent terms only, as outcomes are reported within seconds.
+  static constexpr int kCommandIdTermShift = 40;
   std::uint64_t last_id_;
 };
 
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -1,11 +1,30 @@
 #include "election.h"
 
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "constants.h"
 #include "leader_record.h"
 #include "mutation.h"
 #include "store_keys.h"
 
 namespace corkmux {
 namespace c = constants;
+namespace {
+
+/// The stored term, if a further one can be claimed after it.
+std::optional<std::uint64_t> usable_term(const codec::Json& record) {
+  auto term = parse_term_record(record);
+  if (!term)
+    spdlog::error("no term can be claimed: the stored term cannot be read");
+  else if (*term >= c::kLastTerm)
+    spdlog::error("no term can be claimed: the stored term {} is the last", *term);
+  return term && *term < c::kLastTerm ? term : std::nullopt;
+}
+
+}  // namespace
 
 Election::Election(Loop& loop, std::string label, StateClient& state, Callbacks callbacks)
     : Actor(loop),
@@ -86,7 +105,9 @@
                }
                auto kv = reply.ok() ? codec::parse_value(reply.body) : std::nullopt;
                if (!kv) return abort_campaign(kRetryInterval);
-               term_ = parse_term_record(kv->value);
+               auto last_claimed = usable_term(kv->value);
+               if (!last_claimed) return abort_campaign(c::kUnusableTermRetryInterval);
+               term_ = *last_claimed;
                claim(known_revision, kv->revision);
              }));
 }
@@ -103,6 +124,7 @@
 void Election::claimed(const StateReply& reply) {
   if (!reply.ok()) return abort_campaign(reply.status == StateStatus::Conflict ? 0.0 : kRetryInterval);
   role_ = Role::Leading;
+  reserving_ = false;
   ++epoch_;
   revision_ = codec::parse_revision(reply.body);
   // A controller that wins while it shuts down resigns, or the term would have no working leader.
@@ -135,6 +157,32 @@
              }));
 }
 
+void Election::reserve_term(std::uint64_t at_least, ReservedCallback reserved) {
+  if (role_ != Role::Leading || std::exchange(reserving_, true)) return;
+  state_.get(kTermKey, guarded([this, at_least, reserved = std::move(reserved)](const StateReply& reply) {
+               auto kv = reply.ok() ? codec::parse_value(reply.body) : std::nullopt;
+               auto last_claimed = kv ? usable_term(kv->value) : std::nullopt;
+               if (!last_claimed) {
+                 reserving_ = false;
+                 return;
+               }
+               const std::uint64_t term = std::min(std::max(*last_claimed + 1, at_least), c::kLastTerm);
+               raise_term(term, kv->revision, reserved);
+             }));
+}
+
+/// The leader's record stays as it is, so all writes of this leader remain valid. If the answer is lost, the
+/// next call reserves a term above the one that may have been stored.
+void Election::raise_term(std::uint64_t term, std::uint64_t term_revision, const ReservedCallback& reserved) {
+  state_.transaction({{kLeaderKey, revision_}, {kTermKey, term_revision}},
+                     {{kTermKey, term_record_to_json(term), 0}},
+                     guarded([this, term, reserved](const StateReply& reply) {
+                       reserving_ = false;
+                       if (reply.ok()) return reserved(term);
+                       if (reply.status == StateStatus::Conflict) verify();
+                     }));
+}
+
 void Election::resign(double pause_s, DoneCallback done) {
   if (role_ != Role::Leading) {
     if (done) done();
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -14,6 +14,12 @@
 
 namespace corkmux {
 
+namespace constants {
+
+inline constexpr double kUnusableTermRetryInterval = 60;  // s; the stored term only changes by hand then
+
+}  // namespace constants
+
 /// A won election.
 struct ElectionResult {
   std::uint64_t term = 0;
@@ -32,6 +38,7 @@
     std::function<void(std::string label, std::uint64_t term)> leader_observed;
   };
   using DoneCallback = std::function<void()>;
+  using ReservedCallback = std::function<void(std::uint64_t term)>;
 
   Election(Loop& loop, std::string label, StateClient& state, Callbacks callbacks);
   void start() { observe(); }
@@ -43,6 +50,10 @@
   void renew_now();
   /// Checks that the leader's record is still that of this term; otherwise reports the term as lost.
   void verify();
+  /// Reserves a further term for this leader, `at_least` or a higher one: no other controller leads under it
+  /// or a lower one. `reserved` is called if it succeeded; otherwise the caller has to try again. Does
+  /// nothing while a reservation is under way.
+  void reserve_term(std::uint64_t at_least, ReservedCallback reserved);
   /// Revokes the lease, so that a successor is elected at once. This controller does not campaign for
   /// `pause_s`. An unanswered write of the term fails from then on, since the record it is conditioned on is
   /// removed.
@@ -66,6 +77,7 @@
   void claim(std::uint64_t known_revision, std::uint64_t term_revision);
   void claimed(const StateReply& reply);
   void abort_campaign(double pause_s);
+  void raise_term(std::uint64_t term, std::uint64_t term_revision, const ReservedCallback& reserved);
   void renew();
   void announce(const std::string& label, std::uint64_t term);
   /// Wraps a callback so that it does nothing after the next change of role.
@@ -81,6 +93,7 @@
   Callbacks callbacks_;
   Role role_ = Role::Following;
   bool abstaining_ = false;
+  bool reserving_ = false;   // a further term, while leading
   std::uint64_t epoch_ = 1;  // incremented with each change of role
   std::uint64_t term_ = 0;
   std::uint64_t revision_ = 0;  // of the leader's record that this controller wrote
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -271,6 +271,7 @@
     state.scheduler->tick(now);
     state.lease_monitor->tick();
   }
+  if (!state.term.resigning) reserve_numbers();
   state.dispatcher->sweep();
   forget_unknown_machines(now);
   push_views();
@@ -279,6 +280,20 @@
   react();
 }
 
+/// Fencing tokens and attempts are numbered within a term: before they are used up, a further term is
+/// reserved. If that came too late, or workers have tokens above this term's, a new term begins instead.
+void Leader::reserve_numbers() {
+  auto term = leadership_->scheduler->term_to_reserve();
+  if (!term) return;
+  election_.reserve_term(*term, [this](std::uint64_t reserved) {
+    if (!leading()) return;
+    if (leadership_->scheduler->needs_new_leader_term()) return give_up(StepDownReason::TokensSuperseded, 0);
+    spdlog::info("fencing tokens continue in term {}, reserved by the leader of term {}", reserved,
+                 leadership_->term.number);
+    leadership_->scheduler->continue_in_term(reserved);
+  });
+}
+
 void Leader::log_state_store_reachability(bool unreachable) {
   if (std::exchange(leadership_->state_store_unreachable, unreachable) == unreachable) return;
   spdlog::warn(
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -99,6 +99,7 @@
   void run_scheduling_cycle();
 
   void tick();
+  void reserve_numbers();
   void log_state_store_reachability(bool unreachable);
   void forget_unknown_machines(double now);
   void check_worker_reachability();
--- a/src/leader/machine_provisioner.h
+++ b/src/leader/machine_provisioner.h
@@ -3,6 +3,7 @@
 // Owns the term's unsettled requests to the cloud. plan_scaling() decides how many machines there should be,
 // and the scheduler decides which machines are deleted. An actor of one term.
 #pragma once
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -72,7 +73,7 @@
   RefusedUntil refused_until_;  // s of the steady clock
   std::map<MachineKind, PendingRequest> pending_;
   std::set<MachineKind> in_flight_;
-  int requests_ = 0;
+  std::uint64_t requests_ = 0;
   Timer tick_timer_;
   Timer scale_timer_;
 };
--- a/src/leader/term.cc
+++ b/src/leader/term.cc
@@ -12,6 +12,8 @@
       return "a peer reported a newer leader";
     case StepDownReason::WorkerFollowsNewerLeader:
       return "a worker follows a newer leader";
+    case StepDownReason::TokensSuperseded:
+      return "workers need fencing tokens of a higher term";
     case StepDownReason::UnreadableRecords:
       return "stored records are of a newer version";
     case StepDownReason::WorkersUnreachable:
--- a/src/leader/term.h
+++ b/src/leader/term.h
@@ -25,6 +25,7 @@
   LeaderRecordChanged,  // a write conflicted with another leader's record
   PeerReportedNewerLeader,
   WorkerFollowsNewerLeader,
+  TokensSuperseded,    // workers have higher fencing tokens than this term's, or these are used up
   UnreadableRecords,   // a newer version of corkmux has written the stored state
   WorkersUnreachable,  // no heartbeat arrives although machines are up
   Shutdown
--- a/src/scheduler/cluster_state.cc
+++ b/src/scheduler/cluster_state.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 ClusterState::ClusterState(SchedulerConfig config, std::uint64_t term, double now)
-    : config_(std::move(config)), term_(term), started_at_(now), job_index_(config_.teams) {
+    : config_(std::move(config)), sequence_(term), started_at_(now), job_index_(config_.teams) {
   for (const auto& team : config_.teams) teams_[team.name] = team;
 }
 
@@ -136,7 +136,7 @@
 
 bool ClusterState::accepts_tasks(const Machine& machine) const {
   return machine.is_up() && !machine.is_decommissioning() && !machine.is_faulty() && !machine.reclaim_at &&
-         machine.size.cpus > 0 && machine.worker.observed_token >= first_sequence_number() &&
+         machine.size.cpus > 0 && sequence_.base() < machine.worker.observed_token &&
          machine.worker.observed_token >= machine.worker.required_token;
 }
 
@@ -272,16 +272,10 @@
 
 // ---------------------------------------------------------------- fencing tokens
 
-std::uint64_t ClusterState::first_sequence_number() const { return term_ << c::kTermShift; }
-
-bool ClusterState::superseded_by(std::uint64_t token) const { return (token >> c::kTermShift) > term_; }
-
-std::uint64_t ClusterState::next_sequence_number() { return first_sequence_number() | ++counter_; }
-
-std::uint64_t ClusterState::raise_fencing_token(Machine& machine) {
-  machine.worker.fencing_token = next_sequence_number();
-  machine.worker.required_token = machine.worker.fencing_token;
-  return machine.worker.fencing_token;
+void ClusterState::raise_fencing_token(Machine& machine) {
+  const std::optional<std::uint64_t> token = sequence_.next();
+  if (token) machine.worker.fencing_token = *token;
+  machine.worker.required_token = token.value_or(kTokenNeverIssued);
 }
 
 }  // namespace corkmux
--- a/src/scheduler/cluster_state.h
+++ b/src/scheduler/cluster_state.h
@@ -22,6 +22,7 @@
 #include "machine.h"
 #include "model.h"
 #include "scheduler_config.h"
+#include "sequence_numbers.h"
 
 namespace corkmux {
 namespace constants {
@@ -119,15 +120,12 @@
   bool within_limit(const std::string& team, const Resources& more) const;
 
   // --- fencing tokens and attempts ---
-  /// The lowest number of this term: tokens from this number on were issued by this leader or a later one.
-  std::uint64_t first_sequence_number() const;
-  /// Whether the token was issued in a later term than this one.
-  bool superseded_by(std::uint64_t token) const;
-  /// The next number of this term, for fencing tokens and attempts.
-  std::uint64_t next_sequence_number();
-  /// Gives the machine a higher fencing token: from now on, only a heartbeat that carries this token confirms
-  /// that a task is absent from the machine. Returns the token.
-  std::uint64_t raise_fencing_token(Machine& machine);
+  SequenceNumbers& sequence() { return sequence_; }
+  const SequenceNumbers& sequence() const { return sequence_; }
+  /// Gives the machine a higher fencing token: from now on, only a heartbeat that carries its required token
+  /// confirms that a task is absent from the machine. If the numbers are used up, no heartbeat does until the
+  /// next term.
+  void raise_fencing_token(Machine& machine);
 
   // --- pending notifications ---
   /// Marks the job as one whose displayed state has changed.
@@ -151,8 +149,7 @@
   void release_quota(const Job& job);
 
   SchedulerConfig config_;
-  std::uint64_t term_;
-  std::uint64_t counter_ = 0;
+  SequenceNumbers sequence_;
   double started_at_;
   std::vector<MachineType> types_;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/scheduler/command_queue.cc
+++ b/src/scheduler/command_queue.cc
@@ -5,11 +5,21 @@
 namespace corkmux {
 using Stage = ActiveTask::Stage;
 
+namespace {
+
+/// Whether an empty batch is sent to bring the worker its required token, if there is such a token.
+bool lacks_required_token(const Machine& machine) {
+  const std::uint64_t required = machine.worker.required_token;
+  return required != kTokenNeverIssued && machine.worker.observed_token < required;
+}
+
+}  // namespace
+
 bool CommandQueue::has_commands(const Machine& machine) const {
   if (machine.commands.dispatch_in_flight || !machine.is_up() || machine.address.empty()) return false;
   return machine.takes_commands_directly() &&
          (!machine.commands.outbox.empty() || machine.commands.needs_dispatch ||
-          machine.worker.observed_token < machine.worker.required_token);
+          lacks_required_token(machine));
 }
 
 std::vector<std::string> CommandQueue::machines_with_commands() {
@@ -124,7 +134,7 @@
       task->minimum_token = 0;
       break;
     case DispatchOutcome::Unanswered:
-      task->minimum_token = machine.worker.fencing_token;
+      task->minimum_token = machine.worker.required_token;
       break;
     case DispatchOutcome::Refused:
     case DispatchOutcome::Unsent:
--- a/src/scheduler/heartbeat_reconciler.cc
+++ b/src/scheduler/heartbeat_reconciler.cc
@@ -1,6 +1,7 @@
 #include "heartbeat_reconciler.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "mutation.h"
 
@@ -35,11 +36,15 @@
                                                double now) {
   // A delayed heartbeat of a returned machine must not add the machine again.
   if (machines_.was_returned(heartbeat.machine)) return {};
-  Machine& machine = find_or_add_machine(heartbeat, now);
   HeartbeatResult refusal;
+  refusal.superseded = carries_foreign_token(heartbeat);
+  if (refusal.superseded) {
+    state_.sequence().note_foreign(heartbeat.fencing_token);
+    return refusal;
+  }
+  Machine& machine = find_or_add_machine(heartbeat, now);
   refusal.fencing_token = machine.worker.fencing_token;
-  refusal.superseded = is_superseded(heartbeat, machine);
-  if (refusal.superseded || is_stale(heartbeat, machine)) return refusal;
+  if (is_stale(heartbeat, machine)) return refusal;
 
   if (heartbeat.worker_epoch > machine.worker.epoch) begin_epoch(heartbeat, machine, now);
   if (state_.silent(machine, now)) state_.request_cycle();
@@ -60,6 +65,16 @@
   return std::move(pass.result);
 }
 
+// Another leader's token proves nothing about this leader's launches. Before its first heartbeat a worker
+// cannot have a token of this term, and later none above all issued ones.
+bool HeartbeatReconciler::carries_foreign_token(const Heartbeat& heartbeat) const {
+  const SequenceNumbers& sequence = state_.sequence();
+  const Machine* machine = std::as_const(state_).machine(heartbeat.machine);
+  const bool never_heard = machine && !machine->is_up() && !mutation_enabled("a term is used twice");
+  return never_heard ? heartbeat.fencing_token > sequence.base()
+                     : sequence.is_foreign(heartbeat.fencing_token);
+}
+
 Machine& HeartbeatReconciler::find_or_add_machine(const Heartbeat& heartbeat, double now) {
   Machine& machine = state_.add_machine(heartbeat.machine, now).machine;
   if (!machine.is_up() || machine.type.empty()) register_worker(heartbeat, machine, now);
@@ -83,11 +98,6 @@
   state_.request_cycle();
 }
 
-bool HeartbeatReconciler::is_superseded(const Heartbeat& heartbeat, const Machine& machine) const {
-  return heartbeat.fencing_token > machine.worker.fencing_token &&
-         state_.superseded_by(heartbeat.fencing_token);
-}
-
 // Late and reordered heartbeats do not describe the machine's present state.
 bool HeartbeatReconciler::is_stale(const Heartbeat& heartbeat, const Machine& machine) {
   if (heartbeat.worker_epoch != machine.worker.epoch) return heartbeat.worker_epoch < machine.worker.epoch;
@@ -105,9 +115,8 @@
 }
 
 void HeartbeatReconciler::observe_token(const Heartbeat& heartbeat, Machine& machine, double now) {
-  const std::uint64_t first_of_term = state_.first_sequence_number();
-  const bool newly_of_this_term =
-      machine.worker.observed_token < first_of_term && heartbeat.fencing_token >= first_of_term;
+  const std::uint64_t base = state_.sequence().base();
+  const bool newly_of_this_term = machine.worker.observed_token <= base && heartbeat.fencing_token > base;
   machine.worker.observed_token = std::max(machine.worker.observed_token, heartbeat.fencing_token);
   if (!newly_of_this_term) return;
   machine.worker.term_token_observed_at = now;
@@ -174,8 +183,11 @@
       machine.commands.dispatch_in_flight)
     return;
   if (machine.worker.last_launch_token == machine.worker.fencing_token &&
-      !mutation_enabled("forgotten attempts can be launched again"))
-    machine.worker.fencing_token = state_.next_sequence_number();
+      !mutation_enabled("forgotten attempts can be launched again")) {
+    const std::optional<std::uint64_t> token = state_.sequence().next();
+    if (!token) return;
+    machine.worker.fencing_token = *token;
+  }
   pass.result.commands.insert(pass.result.commands.end(), pass.ended.begin(), pass.ended.end());
 }
 
--- a/src/scheduler/heartbeat_reconciler.h
+++ b/src/scheduler/heartbeat_reconciler.h
@@ -26,7 +26,7 @@
 
 /// The content of the reply to a heartbeat.
 struct HeartbeatResult {
-  bool superseded = false;  // the worker has a token of a later term than this leader's
+  bool superseded = false;  // the worker has a token of another leader that is above this leader's
   std::vector<TaskCommand> commands;
   std::uint64_t fencing_token = 0;
 };
@@ -54,8 +54,8 @@
   };
 
   // The steps of reconcile(), in their order.
+  bool carries_foreign_token(const Heartbeat& heartbeat) const;
   Machine& find_or_add_machine(const Heartbeat& heartbeat, double now);
-  bool is_superseded(const Heartbeat& heartbeat, const Machine& machine) const;
   static bool is_stale(const Heartbeat& heartbeat, const Machine& machine);
   void begin_epoch(const Heartbeat& heartbeat, Machine& machine, double now);
   void observe_token(const Heartbeat& heartbeat, Machine& machine, double now);
--- a/src/scheduler/machine_lifecycle.cc
+++ b/src/scheduler/machine_lifecycle.cc
@@ -194,7 +194,7 @@
     // The last time at which the worker's lease may have been renewed: by this leader, by a lease proxy, or
     // by a former leader that has lost the state store and still renews leases for keepalive() s. A former
     // leader cannot renew it any more once the worker has reported a token of this term.
-    const bool has_token_of_term = machine.worker.observed_token >= state_.first_sequence_number();
+    const bool has_token_of_term = machine.worker.observed_token > state_.sequence().base();
     const double renewed_by_others_until =
         has_token_of_term ? machine.worker.term_token_observed_at : state_.started_at() + config.keepalive();
     const double renewed_until = std::max({machine.worker.last_reply_at, machine.worker.last_launch_at,
--- a/src/scheduler/placement.cc
+++ b/src/scheduler/placement.cc
@@ -152,7 +152,8 @@
 
 bool Placement::assign_gang(Job& job, Suspects suspects, const std::vector<std::string>& zones, double now) {
   const JobSpec& spec = job.spec;
-  const std::uint64_t attempt = state_.next_sequence_number();
+  const std::optional<std::uint64_t> attempt = state_.sequence().next();
+  if (!attempt) return set_gang_waiting_reason(job);
   double slowest_fetch_s = 0;
   int assigned = 0;
   for (const auto& zone : zones)
@@ -161,7 +162,7 @@
       const Choice choice = pick_machine(spec, groups, now);
       if (!choice.machine) break;
       slowest_fetch_s = std::max(slowest_fetch_s, choice.fetch_s);
-      lifecycle_.assign(job, assigned, *choice.machine, attempt, now);
+      lifecycle_.assign(job, assigned, *choice.machine, *attempt, now);
       ++assigned;
     }
   if (assigned < spec.tasks) {
@@ -221,8 +222,9 @@
   int placed = 0;
   std::map<std::string, int> tasks_in_zone;
   for (const auto& [index, task] : job.active) ++tasks_in_zone[task.zone];
-  // All tasks placed in this call share one attempt number: each task is placed at most once per call.
-  const std::uint64_t attempt = state_.next_sequence_number();
+  // All tasks placed in this call share one attempt number: each task is placed at most once per call. A job
+  // that waits takes no number, since waiting jobs are tried in every cycle.
+  std::optional<std::uint64_t> attempt;
   // A job that fails by itself runs one task at a time: one task shows the failure as well as all would.
   if (job.fails_by_itself) budget = job.active.empty() ? 1 : 0;
   while (placed < budget && job.queued > 0) {
@@ -241,7 +243,9 @@
     const Choice choice = pick_machine(spec, groups, now);
     const std::optional<int> index = next_queued(job);
     if (!choice.machine || !index) break;
-    lifecycle_.assign(job, *index, *choice.machine, attempt, now);
+    if (!attempt) attempt = state_.sequence().next();
+    if (!attempt) break;
+    lifecycle_.assign(job, *index, *choice.machine, *attempt, now);
     ++tasks_in_zone[choice.machine->zone];
     ++placed;
   }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -139,6 +139,14 @@
   /// Whether a machine was silent at the last tick: a lease proxy may be renewing its lease.
   bool any_silent() const { return machines_.any_silent(); }
 
+  // --- fencing tokens and attempts ---
+  /// The lowest term that the state store has to reserve for this leader now, if any.
+  std::optional<std::uint64_t> term_to_reserve() const { return state_.sequence().term_to_reserve(); }
+  /// Continues with the tokens and attempts of a term that the state store has reserved for this leader.
+  void continue_in_term(std::uint64_t term) { state_.sequence().continue_in(term); }
+  /// Whether the leader has to begin a new term because tokens of this one are used up or superseded.
+  bool needs_new_leader_term() const { return state_.sequence().needs_new_leader_term(); }
+
   // --- time and placement ---
   void tick(double now);
   /// The process was stalled until now and received no heartbeats, so machines do not count as silent.
--- a/src/scheduler/task_record_store.cc
+++ b/src/scheduler/task_record_store.cc
@@ -291,7 +291,7 @@
   Machine& machine = state_.add_machine(task.machine, now).machine;
   // Guards against a second start: a launch of the former leader may still arrive, so only a heartbeat that
   // carries this leader's token can prove that the task is absent.
-  task.minimum_token = machine.worker.fencing_token;
+  task.minimum_token = machine.worker.required_token;
   state_.occupy(job, index, std::move(task), machine);
   if (job.cancelled) state_.request_stop(job, index, 0);
 }
--- a/src/state_store/leader_record.cc
+++ b/src/state_store/leader_record.cc
@@ -10,6 +10,10 @@
 
 codec::Json term_record_to_json(std::uint64_t term) { return codec::Json{{"n", term}}; }
 
-std::uint64_t parse_term_record(const codec::Json& record) { return record.value("n", std::uint64_t{0}); }
+std::optional<std::uint64_t> parse_term_record(const codec::Json& record) {
+  auto term = record.find("n");
+  if (term == record.end() || !term->is_number_unsigned()) return std::nullopt;
+  return term->get<std::uint64_t>();
+}
 
 }  // namespace corkmux
--- a/src/state_store/leader_record.h
+++ b/src/state_store/leader_record.h
@@ -1,6 +1,7 @@
 // The records of an election: the current leader (kLeaderKey) and the last claimed term (kTermKey).
 #pragma once
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "codec.h"
@@ -20,7 +21,7 @@
 
 /// The stored form of the last claimed term.
 codec::Json term_record_to_json(std::uint64_t term);
-/// Parses the stored form; 0 if the term is missing.
-std::uint64_t parse_term_record(const codec::Json& record);
+/// Parses the stored form; nullopt if it is unreadable: a term that is guessed could be one that was used.
+std::optional<std::uint64_t> parse_term_record(const codec::Json& record);
 
 }  // namespace corkmux
--- a/tests/machine_lifecycle_test.cc
+++ b/tests/machine_lifecycle_test.cc
@@ -47,7 +47,7 @@
 TEST_F(MachineLifecycleTest, AFormerLeaderMayRenewAWorkerThatHasNoTokenOfThisTerm) {
   Machine& machine = modules.add_up_machine("n-1");
   modules.run(job, 0, machine);
-  machine.worker.observed_token = modules.state.first_sequence_number() - 1;
+  machine.worker.observed_token = modules.state.sequence().base();
   const double renewed_by_others_until = SchedulerModules::config().keepalive();
   ASSERT_GT(renewed_by_others_until, 0);
   EXPECT_TRUE(machines.machines_with_expired_leases(renewed_by_others_until + lease_s).empty());
--- a/tests/mutation_test.cc
+++ b/tests/mutation_test.cc
@@ -53,6 +53,8 @@
 INSTANTIATE_TEST_SUITE_P(
     Simulations, Mutation,
     ::testing::Values(
+        // The mutation also keeps the scheduler from recognizing the other leader's tokens, which would end
+        // the second use of the term.
         MutationCase{"election", "a term is used twice", "forty", "restarts", 10},
         MutationCase{"lease_proxy", "a lease proxy answers before its record is stored", "scarce",
                      "apart-and-leaders-end", 60},
--- a/tests/scheduler_modules.h
+++ b/tests/scheduler_modules.h
@@ -51,7 +51,7 @@
   }
   /// Assigns the task and stores the assignment.
   ActiveTask& launch(Job& job, int index, Machine& machine, double now = 0) {
-    lifecycle.assign(job, index, machine, state.next_sequence_number(), now);
+    lifecycle.assign(job, index, machine, state.sequence().next().value(), now);
     lifecycle.records_written(records.next_writes(12, true, now), ++revision, now);
     return job.active.at(index);
   }
--- a/tests/term_test.cc
+++ b/tests/term_test.cc
@@ -67,8 +67,12 @@
   }
   static std::string id(int n) { return "run-" + std::to_string(1000 + n); }
   Heartbeat heartbeat_of(const std::string& machine, std::uint64_t seq) {
-    Heartbeat heartbeat = test::heartbeat_of(machine, 1, seq);
-    heartbeat.fencing_token = (std::uint64_t{1} << 20) + 1000;  // of the term; above all issued ones
+    Heartbeat heartbeat = test::heartbeat_of(machine, 1, 0);
+    // The worker's first heartbeat, which carries no token, brings it the token of the term.
+    if (!scheduler->machine(machine) || !scheduler->machine(machine)->is_up())
+      scheduler->on_heartbeat(heartbeat, Scheduler::Channel::Heartbeat, steady_now());
+    heartbeat.fencing_token = scheduler->machine(machine)->worker.fencing_token;
+    heartbeat.seq = seq;
     return heartbeat;
   }
 };
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -95,12 +95,17 @@
     std::map<int, TaskStatus> tasks;
   };
   std::map<std::string, Worker> workers;
+  /// A worker that the leader has not heard yet sends a heartbeat without the leader's token first.
   void send_heartbeat(Scheduler& scheduler, const std::string& name) {
+    if (!scheduler.machine(name) || !scheduler.machine(name)->is_up()) send_heartbeat(scheduler, name, 0);
+    send_heartbeat(scheduler, name, scheduler.machine(name)->worker.fencing_token);
+  }
+  void send_heartbeat(Scheduler& scheduler, const std::string& name, std::uint64_t fencing_token) {
     Worker& w = workers[name];
     Heartbeat r;
     r.machine = name, r.address = "x", r.type = "plain", r.zone = "rabat-agdal", r.worker_epoch = 1;
     r.seq = ++w.seq;
-    r.fencing_token = scheduler.machine(name) ? scheduler.machine(name)->worker.fencing_token : 0;
+    r.fencing_token = fencing_token;
     for (const auto& [i, t] : w.tasks) r.tasks.push_back(t);
     auto answer = scheduler.on_heartbeat(r, Scheduler::Channel::Heartbeat, now);
     for (const auto& c : answer.commands)
