One malformed submission no longer ends every controller

The client repeated it at the next node; after 3 s none was left, and nobody answered for a job that was accepted before.

Cause: the MessagePack reader takes any bytes as text, and no name was checked for UTF-8. The size of a job's record is that of its JSON form, whose writer throws on such a text (type_error.316); nothing caught it below main.

A stored end that cannot be read answers 503. - What nobody foresaw: a request's handler that throws is answered 500; elsewhere the loop logs the exception and goes on, and a term that is led ends, since its state may be incomplete.

--- a/src/cmd/corkmux_main.cc
+++ b/src/cmd/corkmux_main.cc
@@ -62,12 +62,20 @@
     if (choices_.kubernetes) open_kubernetes();
     controller_.start();
     watch_signals();
+    loop_.on_exception([this](const std::exception& error) { on_exception(error); });
     spdlog::info("{} listening on {} in zone {}", settings_.label, settings_.listen, settings_.zone);
     loop_.run();
     return status_;
   }
 
  private:
+  /// Goes on after an exception that no module has handled. The term ends, since the leader's state may be
+  /// incomplete: it is loaded anew by whoever leads next.
+  void on_exception(const std::exception& error) {
+    spdlog::error("unexpected error in a handler, the process goes on: {}", error.what());
+    controller_.handler_failed();
+  }
+
   void open_kubernetes() {
     // An address in the operators' file that cannot be bound on this host must not stop the scheduler.
     try {
--- a/src/common/io_watcher.h
+++ b/src/common/io_watcher.h
@@ -34,8 +34,10 @@
  private:
   static void on_ready(struct ev_loop*, ev_io* io, int events) {
     // Copied, since the callback may destroy this watcher.
-    auto callback = static_cast<IoWatcher*>(io->data)->callback_;
-    callback(events);
+    const auto* ready = static_cast<IoWatcher*>(io->data);
+    Loop& loop = ready->loop_;
+    auto callback = ready->callback_;
+    loop.run_guarded(callback, events);
   }
 
   Loop& loop_;
--- a/src/common/loop.h
+++ b/src/common/loop.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +18,7 @@
 class Loop {
  public:
   using Message = std::function<void()>;
+  using ExceptionHandler = std::function<void(const std::exception&)>;
   /// A loop on libev; run() drives it.
   Loop() : loop_(ev_loop_new(EVFLAG_AUTO)) {
     ev_idle_init(&idle_, &Loop::on_idle);
@@ -42,6 +44,20 @@
   struct ev_loop* raw() {
     return loop_;
   }
+  /// Sets what is called with an exception that leaves a callback of this loop, its timers or watchers; the
+  /// loop then goes on with the next callback. Without a handler such an exception leaves run().
+  void on_exception(ExceptionHandler handler) { exception_handler_ = std::move(handler); }
+  /// Runs a callback, with its exceptions passed to that handler.
+  template <typename Callback, typename... Args>
+  void run_guarded(const Callback& callback, Args... args) {
+    if (!exception_handler_) return callback(args...);
+    try {
+      callback(args...);
+    } catch (const std::exception& error) {
+      exception_handler_(error);
+    }
+  }
+
   void run() { ev_run(loop_, 0); }
   void run_once() { ev_run(loop_, EVRUN_ONCE); }
   void stop() { ev_break(loop_, EVBREAK_ALL); }
@@ -84,7 +100,7 @@
     auto* due = static_cast<DelayedCall*>(timer->data);
     // Removed before it runs, since the callback may add delayed calls.
     auto call = due->loop->delayed_.extract(due->id);
-    call.mapped()->callback();
+    due->loop->run_guarded(call.mapped()->callback);
   }
   static void on_idle(struct ev_loop* raw, ev_idle* watcher, int) {
     ev_idle_stop(raw, watcher);
@@ -99,7 +115,7 @@
   void run_batch() {
     std::deque<Message> batch;
     batch.swap(queue_);
-    for (auto& message : batch) message();
+    for (auto& message : batch) run_guarded(message);
   }
 
   Runtime* runtime_ = nullptr;
@@ -107,6 +123,7 @@
   struct ev_loop* loop_ = nullptr;
   ev_idle idle_{};
   std::deque<Message> queue_;
+  ExceptionHandler exception_handler_;
   std::uint64_t last_delayed_ = 0;
   std::map<std::uint64_t, std::unique_ptr<DelayedCall>> delayed_;
 };
--- a/src/common/signal_watcher.h
+++ b/src/common/signal_watcher.h
@@ -23,7 +23,8 @@
 
  private:
   static void on_signal(struct ev_loop*, ev_signal* signal, int) {
-    static_cast<SignalWatcher*>(signal->data)->callback_();
+    const auto* received = static_cast<SignalWatcher*>(signal->data);
+    received->loop_.run_guarded(received->callback_);
   }
 
   Loop& loop_;
--- a/src/common/timer.h
+++ b/src/common/timer.h
@@ -50,8 +50,10 @@
   }
   static void on_fired(struct ev_loop*, ev_timer* timer, int) {
     // Copied, since the callback may restart or destroy the timer.
-    auto callback = static_cast<Timer*>(timer->data)->callback_;
-    callback();
+    const auto* fired = static_cast<Timer*>(timer->data);
+    Loop& loop = fired->loop_;
+    auto callback = fired->callback_;
+    loop.run_guarded(callback);
   }
 
   Loop& loop_;
--- a/src/config/toml_reader.h
+++ b/src/config/toml_reader.h
@@ -39,11 +39,12 @@
     if (!value || value->empty()) fail(name, "missing or not a text");
     return *value;
   }
-  /// Reads a finite number that is not negative and, if `positive`, not 0.
+  /// Reads a number that is not negative, at most kMaxAmount and, if `positive`, not 0.
   double amount(const char* name, bool positive) const {
     auto value = table_[name].value<double>();
     if (!value) fail(name, "missing or not a number");
-    if (!std::isfinite(*value) || *value < 0 || (positive && *value <= 0)) fail(name, "out of range");
+    if (!std::isfinite(*value) || *value < 0 || *value > kMaxAmount || (positive && *value <= 0))
+      fail(name, "out of range");
     return *value;
   }
   double amount_or(const char* name, double default_value) const {
@@ -104,6 +105,8 @@
   }
 
  private:
+  static constexpr double kMaxAmount = 1e9;  // whole numbers up to this fit an int
+
   const std::string& file_;
   const toml::table& table_;
   std::string where_;
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -128,6 +128,10 @@
   coordinator_.start();
 }
 
+void Controller::handler_failed() {
+  leader_.tell([](Leader& leader) { leader.handler_failed(); });
+}
+
 void Controller::stop(std::function<void()> done) {
   admission_.close();
   front_end_.close();
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -32,6 +32,8 @@
   /// requests, then calls `done`, after kShutdownTimeLimit at the latest. Whatever is unsettled then is in
   /// the same state as after a crash.
   void stop(std::function<void()> done);
+  /// An exception has left a handler: this controller stops leading, if it leads.
+  void handler_failed();
   int port() const { return front_end_.port(); }
   bool leading() const { return leader_.leading(); }
 
--- a/src/controller/job_reader.cc
+++ b/src/controller/job_reader.cc
@@ -31,6 +31,8 @@
     auto stored = reply.ok() ? codec::parse_value(reply.body) : std::nullopt;
     if (!stored) return done(std::nullopt);
     auto outcome = parse_job_outcome(stored->value);
+    if (outcome.phase != job_phase::kDone && outcome.phase != job_phase::kCancelled)
+      return done(std::nullopt);
     JobEnd end{std::move(outcome.phase), outcome.tasks_done};
     if (end.phase == job_phase::kCancelled) status_cache_.note_cancelled(job);
     status_cache_.cache_end(job, end);
--- a/src/controller/relay_record.cc
+++ b/src/controller/relay_record.cc
@@ -1,11 +1,16 @@
 #include "relay_record.h"
 
+#include <algorithm>
+
+#include "wire_fields.h"
+
 namespace corkmux {
 namespace {
 
 using codec::Json;
 
 constexpr std::size_t kSeparator = 1;  // bytes between items of a record
+constexpr std::uint64_t kMaxHttpStatus = 599;
 
 std::optional<std::uint64_t> id_in(const Json& item, const char* field) {
   auto id = item.find(field);
@@ -13,18 +18,23 @@
   return id->get<std::uint64_t>();
 }
 
+Json body_in(const Json& item) {
+  const Json* body = codec::field(item, "b");
+  return body ? *body : Json();
+}
+
 RelayedRequest request_from(std::uint64_t id, const Json& item) {
   auto compact = item.find("r");
   if (compact != item.end())
     return {id, RelayEncoding::Compact, codec::pack(codec::expand_heartbeat(*compact))};
-  return {id, RelayEncoding::Full, codec::pack(item.value("b", Json()))};
+  return {id, RelayEncoding::Full, codec::pack(body_in(item))};
 }
 
 RelayedAnswer answer_from(std::uint64_t id, const Json& item) {
-  int status = item.value("s", 0);
+  const auto status = std::min<std::uint64_t>(codec::integer(item, "s"), kMaxHttpStatus);
   auto compact = item.find("r");
-  Json body = compact != item.end() ? codec::expand_commands(*compact) : item.value("b", Json());
-  return {id, LeaderReply::from_wire(status, body.is_null() ? "" : codec::pack(body))};
+  Json body = compact != item.end() ? codec::expand_commands(*compact) : body_in(item);
+  return {id, LeaderReply::from_wire(static_cast<int>(status), body.is_null() ? "" : codec::pack(body))};
 }
 
 std::optional<std::variant<RelayedRequest, RelayedAnswer>> item_from(const Json& item) {
@@ -37,7 +47,7 @@
 }  // namespace
 
 RelayItem::RelayItem(std::optional<std::uint64_t> request_id, Json encoded)
-    : request_id_(request_id), encoded_(std::move(encoded)), size_(encoded_.dump().size() + kSeparator) {}
+    : request_id_(request_id), encoded_(std::move(encoded)), size_(codec::json_size(encoded_) + kSeparator) {}
 
 std::optional<RelayItem> RelayItem::request(std::uint64_t id, const std::string& heartbeat,
                                             RelayEncoding encoding) {
@@ -70,7 +80,7 @@
   if (!record.is_object()) return std::nullopt;
   auto items = record.find("i");
   RelayRecord out;
-  out.from = record.value("f", "");
+  out.from = codec::text(record, "f");
   if (out.from.empty() || items == record.end() || !items->is_array()) return std::nullopt;
   for (const auto& entry : *items)
     if (auto item = item_from(entry)) out.items.push_back(std::move(*item));
--- a/src/heartbeat_fanin/fanin_messages.cc
+++ b/src/heartbeat_fanin/fanin_messages.cc
@@ -1,6 +1,7 @@
 #include "fanin_messages.h"
 
-#include "wire_constants.h"
+#include "ipv4_address.h"
+#include "wire_fields.h"
 
 namespace corkmux::fanin {
 namespace {
@@ -27,7 +28,7 @@
 
 const std::string& name(const Json& entry, std::size_t at) {
   const auto& out = text(entry, at);
-  if (out.empty() || out.size() > constants::kMaxText) throw MalformedEntry();
+  if (!codec::is_valid_name(out)) throw MalformedEntry();
   return out;
 }
 
@@ -74,6 +75,7 @@
 }
 
 ForwardedCommands commands_from(const Json& entry) {
+  if (!parse_ipv4_address(name(entry, 2))) throw MalformedEntry();
   return {number(entry, 0), name(entry, 1), name(entry, 2), text(entry, 3)};
 }
 
@@ -99,10 +101,11 @@
 }
 
 std::optional<Json> message_from(std::string_view bytes) {
-  auto message = codec::unpack(bytes);
+  auto message = codec::unpack_with_encoded_bodies(bytes);
   if (!message || !message->is_object()) return std::nullopt;
   auto from = message->find("from");
   if (from == message->end() || !from->is_string()) return std::nullopt;
+  if (!codec::is_valid_name(from->get_ref<const std::string&>())) return std::nullopt;
   return message;
 }
 
@@ -152,7 +155,7 @@
 }
 
 std::optional<std::vector<HeartbeatAnswer>> parse_answers(std::string_view bytes) {
-  auto message = codec::unpack(bytes);
+  auto message = codec::unpack_with_encoded_bodies(bytes);
   if (!message || !message->is_array()) return std::nullopt;
   std::vector<HeartbeatAnswer> out;
   for (const auto& entry : *message) try {
--- a/src/leader/command_dispatcher.cc
+++ b/src/leader/command_dispatcher.cc
@@ -152,13 +152,15 @@
 // ---------------------------------------------------------------- inspection and deadlines
 
 void CommandDispatcher::inspect(const std::string& machine) {
+  const std::string& address = scheduler_.machine(machine)->address;
+  if (address.empty()) return;
   auto inspected = [this](const http::Result& result) {
     if (!result.ok()) return;
     if (auto heartbeat = heartbeat_in(result.body))
       scheduler_.on_heartbeat(*heartbeat, Scheduler::Channel::CommandBatch, steady_now());
     callbacks_.changed();
   };
-  connections_.to(machine, scheduler_.machine(machine)->address)
+  connections_.to(machine, address)
       .request("GET", "/inspect", "", c::kCommandTimeout, term_.guard(std::move(inspected)));
 }
 
--- a/src/leader/job_watcher.cc
+++ b/src/leader/job_watcher.cc
@@ -3,8 +3,10 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cstdlib>
+#include <charconv>
 #include <memory>
+#include <optional>
+#include <string_view>
 
 #include "constants.h"
 #include "store_keys.h"
@@ -17,6 +19,14 @@
 /// lags by as much.
 constexpr double kWatchJobsWait = 1.0;
 
+/// The number of a piece of a long record; nullopt for another key beside the record.
+std::optional<int> piece_number(std::string_view text) {
+  int number = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return std::nullopt;
+  return number;
+}
+
 std::string job_in(const std::string& key) { return key.substr(std::min(kJobs.size(), key.size())); }
 
 }  // namespace
@@ -128,7 +138,7 @@
   keys.clear();
   for (const auto& [key, text] : pieces) {
     keys.push_back(key);
-    in_order[std::atoi(key.c_str() + prefix)] = text;
+    if (auto number = piece_number(std::string_view(key).substr(prefix))) in_order[*number] = text;
   }
   std::string text;
   for (const auto& [number, piece] : in_order) text += piece;
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -184,6 +184,10 @@
   step_down(reason);
 }
 
+void Leader::handler_failed() {
+  if (leadership_) give_up(StepDownReason::HandlerFailed, c::kLeaderLeaseDuration);
+}
+
 void Leader::newer_term(std::uint64_t term) {
   if (leadership_ && term > leadership_->term.number) step_down(StepDownReason::PeerReportedNewerLeader);
 }
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -51,6 +51,8 @@
   void cancelled(const std::vector<std::string>& jobs);
   /// All peers answered, see CancelAcknowledgements::peers_acknowledged().
   void all_peers_answered(double queried_at, double youngest_seen_at);
+  /// An exception has left a handler, so the term's state may be incomplete: the term ends.
+  void handler_failed();
   /// Shutdown: starts nothing new, waits up to kShutdownTimeout for requests in flight and then makes them
   /// fail, and revokes the leader lease so that a successor is elected at once. From then on this controller
   /// only observes the leader.
--- a/src/leader/machine_provisioner.cc
+++ b/src/leader/machine_provisioner.cc
@@ -91,7 +91,7 @@
   auto kind = request.key();
   in_flight_.erase(kind);
   scale_timer_.once(kNextRequestPause, [this] { scale(); });
-  auto body = codec::unpack(result.body);
+  auto body = codec::unpack_answer(result.body);
   if (result.ok() && body) {
     pending_.erase(kind);
     add_machines(request, codec::parse_provisioned(*body));
@@ -144,7 +144,7 @@
 
 void MachineProvisioner::listed(const http::Result& result) {
   double now = steady_now();
-  auto body = result.ok() ? codec::unpack(result.body) : std::nullopt;
+  auto body = result.ok() ? codec::unpack_answer(result.body) : std::nullopt;
   listing_ = false;
   if (!body) return;
   auto page = codec::parse_machines(*body);
--- a/src/leader/store_writer.cc
+++ b/src/leader/store_writer.cc
@@ -150,7 +150,7 @@
   scheduler_.write_failed(batch);
   if (status == StateStatus::Invalid) {
     std::size_t largest = 0;
-    for (const auto& write : batch) largest = std::max(largest, write.value.dump().size());
+    for (const auto& write : batch) largest = std::max(largest, codec::json_size(write.value));
     refused(largest);
   }
   pump_after(c::kRetryPause);
--- a/src/leader/term.cc
+++ b/src/leader/term.cc
@@ -14,6 +14,8 @@
       return "a worker follows a newer leader";
     case StepDownReason::TokensSuperseded:
       return "workers need fencing tokens of a higher term";
+    case StepDownReason::HandlerFailed:
+      return "an unexpected error in a handler";
     case StepDownReason::UnreadableRecords:
       return "stored records are of a newer version";
     case StepDownReason::WorkersUnreachable:
--- a/src/leader/term.h
+++ b/src/leader/term.h
@@ -26,6 +26,7 @@
   PeerReportedNewerLeader,
   WorkerFollowsNewerLeader,
   TokensSuperseded,    // workers have higher fencing tokens than this term's, or these are used up
+  HandlerFailed,       // an unexpected exception: the scheduler's state may be incomplete
   UnreadableRecords,   // a newer version of corkmux has written the stored state
   WorkersUnreachable,  // no heartbeat arrives although machines are up
   Shutdown
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include <errno.h>
+#include <spdlog/spdlog.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -183,7 +184,17 @@
   connection.traffic = &Traffic::of_process().kind(Traffic::Side::Served, request.method, request.target);
   ++connection.traffic->messages;
   connection.traffic->bytes_in += std::exchange(connection.received, 0);
-  handler_(connection.id, std::move(request));
+  handle(connection.id, std::move(request));
+}
+
+/// Answers a request whose handler fails with 500, so that its sender need not wait for a timeout.
+void Server::handle(ConnectionId id, Request request) {
+  try {
+    handler_(id, std::move(request));
+  } catch (const std::exception& error) {
+    spdlog::error("unexpected error in the handler of a request, answered 500: {}", error.what());
+    respond(id, {500, "", 0, true});
+  }
 }
 
 void Server::respond(ConnectionId id, const Response& response) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -51,6 +51,7 @@
   /// Feeds received bytes to the parser, and serves the request if it is complete.
   void advance(Connection& connection, std::string_view bytes);
   void serve(Connection& connection);
+  void handle(ConnectionId id, Request request);
   void flush(Connection& connection);
   Connection* find(ConnectionId id) const;
   void drop(ConnectionId id);
--- a/src/scheduler/task_record_codec.cc
+++ b/src/scheduler/task_record_codec.cc
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdlib>
 #include <map>
+#include <string_view>
 
 #include "constants.h"
 #include "store_keys.h"
@@ -25,6 +25,8 @@
 constexpr const char* kDone = "d";
 constexpr const char* kTasks = "t";
 
+constexpr int kMaxIndex = 1'000'000;  // above the protocol's tasks of a job; sums of two still fit an int
+
 /// Builds the text form of ascending numbers, such as "0-3,7".
 class RangeText {
  public:
@@ -57,22 +59,61 @@
   int last_ = 0;
 };
 
-std::vector<TaskRange> parse_ranges(const std::string& text) {
+bool is_valid(const TaskRange& range) { return range.first >= 0 && range.last >= range.first; }
+
+/// Parses the text form of ranges; nullopt if it is malformed.
+std::optional<std::vector<TaskRange>> parse_ranges(const std::string& text) {
   std::vector<TaskRange> out;
   const char* position = text.data();
   const char* const end = position + text.size();
   while (position < end) {
     TaskRange range;
     auto parsed = std::from_chars(position, end, range.first);
-    if (parsed.ec != std::errc()) break;
     range.last = range.first;
-    if (parsed.ptr < end && *parsed.ptr == '-') parsed = std::from_chars(parsed.ptr + 1, end, range.last);
+    if (parsed.ec == std::errc() && parsed.ptr < end && *parsed.ptr == '-')
+      parsed = std::from_chars(parsed.ptr + 1, end, range.last);
+    const bool ended = parsed.ptr == end || *parsed.ptr == ',';
+    if (parsed.ec != std::errc() || !ended || !is_valid(range)) return std::nullopt;
     out.push_back(range);
     position = parsed.ptr + 1;
   }
   return out;
 }
 
+/// Parses a number that is not negative and consists of the whole text; nullopt for any other text.
+std::optional<int> parse_index(std::string_view text) {
+  int index = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, index);
+  if (parsed.ec != std::errc() || parsed.ptr != end || index < 0) return std::nullopt;
+  return index;
+}
+
+/// A whole number of the record from 0 to `most`; nullopt for any other value.
+std::optional<int> small_number(const Json& value, int most) {
+  if (!value.is_number_integer() || value < 0 || value > most) return std::nullopt;
+  return value.get<int>();
+}
+
+std::optional<int> small_field(const Json& record, const char* name, int most) {
+  if (!record.is_object()) return std::nullopt;
+  const auto found = record.find(name);
+  return found == record.end() ? std::nullopt : small_number(*found, most);
+}
+
+/// Sets the fields that both formats have; false if one of them is malformed.
+bool read_assignment(const Json& attempt, const Json& machine, const Json& worker_epoch, const Json& zone,
+                     ActiveTask& task) {
+  const auto is_count = [](const Json& number) { return number.is_number_integer() && number >= 0; };
+  if (!is_count(attempt) || !machine.is_string() || !is_count(worker_epoch) || !zone.is_string())
+    return false;
+  task.attempt = attempt.get<std::uint64_t>();
+  task.machine = machine.get<std::string>();
+  task.worker_epoch = worker_epoch.get<std::uint64_t>();
+  task.zone = zone.get<std::string>();
+  return !task.machine.empty();
+}
+
 bool is_done(const Job& job, int index) {
   return job.phase[static_cast<std::size_t>(index)] == TaskPhase::Done;
 }
@@ -104,7 +145,9 @@
   const std::size_t slash = key.rfind('/');
   if (slash == std::string::npos || slash < start) return std::nullopt;
   out.job = key.substr(start, slash - start);
-  out.number = std::atoi(key.c_str() + slash + 1);
+  const std::optional<int> number = parse_index(std::string_view(key).substr(slash + 1));
+  if (!number) return std::nullopt;
+  out.number = *number;
   return out;
 }
 
@@ -152,45 +195,60 @@
   return out;
 }
 
-DecodedTaskRecord decode_task_record_v1(const Json& value) {
+std::optional<DecodedTaskRecord> decode_task_record_v1(const Json& value) {
+  if (!value.is_object()) return std::nullopt;
   DecodedTaskRecord out;
-  if (auto done = value.find(kDone); done != value.end() && done->is_array())
-    for (const Json& range : *done) out.done.push_back({range.at(0).get<int>(), range.at(1).get<int>()});
-  auto tasks = value.find(kTasks);
-  if (tasks == value.end() || !tasks->is_object()) return out;
-  for (const auto& [index, fields] : tasks->items()) {
+  for (const Json& range : value.value(kDone, Json::array())) {
+    if (!range.is_array() || range.size() != 2) return std::nullopt;
+    const auto first = small_number(range[0], kMaxIndex);
+    const auto last = small_number(range[1], kMaxIndex);
+    if (!first || !last || !is_valid({*first, *last})) return std::nullopt;
+    out.done.push_back({*first, *last});
+  }
+  const Json tasks = value.value(kTasks, Json::object());
+  if (!tasks.is_object()) return std::nullopt;
+  for (const auto& [index, fields] : tasks.items()) {
     DecodedTaskRecord::Assignment assignment;
-    assignment.task.attempt = fields.at(0);
-    assignment.task.machine = fields.at(1);
-    assignment.task.worker_epoch = fields.at(2);
-    assignment.task.zone = fields.at(3);
-    const int offset = std::stoi(index);
-    assignment.ranges.push_back({offset, offset});
+    const auto offset = parse_index(index);
+    if (!offset || !fields.is_array() || fields.size() < 4 ||
+        !read_assignment(fields[0], fields[1], fields[2], fields[3], assignment.task))
+      return std::nullopt;
+    assignment.ranges.push_back({*offset, *offset});
     out.assignments.push_back(std::move(assignment));
   }
   return out;
 }
 
-DecodedTaskRecord decode_task_record_v2(const Json& value) {
+std::optional<DecodedTaskRecord> decode_task_record_v2(const Json& value) {
+  if (!value.is_object()) return std::nullopt;
+  const Json done = value.value(kDone, Json(""));
+  const Json zones = value.value(kZones, Json::array());
+  const Json tasks = value.value(kTasks, Json::array());
+  if (!done.is_string() || !zones.is_array() || !tasks.is_array()) return std::nullopt;
+  auto done_ranges = parse_ranges(done.get<std::string>());
+  if (!done_ranges) return std::nullopt;
   DecodedTaskRecord out;
-  out.done = parse_ranges(value.value(kDone, ""));
-  const auto zones = value.value(kZones, std::vector<std::string>{});
-  auto tasks = value.find(kTasks);
-  if (tasks == value.end() || !tasks->is_array()) return out;
-  for (const Json& group : *tasks) {
+  out.done = std::move(*done_ranges);
+  for (const Json& group : tasks) {
     DecodedTaskRecord::Assignment assignment;
-    assignment.task.machine = group.at(0);
-    assignment.task.worker_epoch = group.at(1);
-    assignment.task.zone = zones.at(group.at(2));
-    assignment.task.attempt = group.at(3);
-    assignment.ranges = parse_ranges(group.at(4));
+    if (!group.is_array() || group.size() < 5 || !group[4].is_string()) return std::nullopt;
+    const auto zone = small_number(group[2], kMaxIndex);
+    if (!zone || static_cast<std::size_t>(*zone) >= zones.size() ||
+        !read_assignment(group[3], group[0], group[1], zones[static_cast<std::size_t>(*zone)],
+                         assignment.task))
+      return std::nullopt;
+    auto ranges = parse_ranges(group[4].get<std::string>());
+    if (!ranges) return std::nullopt;
+    assignment.ranges = std::move(*ranges);
     out.assignments.push_back(std::move(assignment));
   }
   return out;
 }
 
-int task_record_format(const Json& value) { return value.value(kFormat, 0); }
-int task_record_count(const Json& value) { return value.value(kCount, 0); }
-int task_record_stride(const Json& value, int default_stride) { return value.value(kStride, default_stride); }
+std::optional<int> task_record_format(const Json& value) { return small_field(value, kFormat, kMaxIndex); }
+int task_record_count(const Json& value) { return small_field(value, kCount, kMaxIndex).value_or(0); }
+int task_record_stride(const Json& value, int default_stride) {
+  return small_field(value, kStride, kMaxIndex).value_or(default_stride);
+}
 
 }  // namespace corkmux
--- a/src/scheduler/task_record_codec.h
+++ b/src/scheduler/task_record_codec.h
@@ -46,12 +46,12 @@
   std::vector<TaskRange> done;
   std::vector<Assignment> assignments;
 };
-/// The decoders throw a nlohmann::json exception if the value is malformed.
-DecodedTaskRecord decode_task_record_v1(const nlohmann::json& value);
-DecodedTaskRecord decode_task_record_v2(const nlohmann::json& value);
+/// The decoders return nullopt if any part of the value is malformed.
+std::optional<DecodedTaskRecord> decode_task_record_v1(const nlohmann::json& value);
+std::optional<DecodedTaskRecord> decode_task_record_v2(const nlohmann::json& value);
 
-/// Header fields of a V2 record; 0 if missing.
-int task_record_format(const nlohmann::json& value);
+/// Header fields of a V2 record. Nullopt or 0 if missing or malformed.
+std::optional<int> task_record_format(const nlohmann::json& value);
 int task_record_count(const nlohmann::json& value);
 /// Number of tasks in a record of its job before any split; `default_stride` if the field is missing.
 int task_record_stride(const nlohmann::json& value, int default_stride);
--- a/src/scheduler/task_record_store.cc
+++ b/src/scheduler/task_record_store.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "constants.h"
+#include "time_constants.h"
 
 namespace corkmux {
 namespace c = constants;
@@ -21,6 +22,10 @@
   return found == job.task_records.end() ? nullptr : &found->second;
 }
 
+std::size_t json_size(const Json& value) {
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace).size();
+}
+
 /// Whether the task may be recovered from a record: the job has it, and no record has changed its phase yet.
 bool can_recover(const Job& job, int index) {
   return index >= 0 && index < job.spec.tasks &&
@@ -157,7 +162,7 @@
     }
     TaskRecordWrite write = encode(*job, entry.from, *record);
     const bool can_split = format_ == RecordFormat::V2 && record->count > 1;
-    if (can_split && write.value.dump().size() > record_limit_) {
+    if (can_split && json_size(write.value) > record_limit_) {
       split(*job, entry.from, *record);
       queue.push_front(entry);
       queue.push_front({entry.job, *record->split_off, entry.since});
@@ -225,7 +230,8 @@
   // A stored V2 record shows that every controller reads V2: none that reads only V1 is left, if there ever
   // was one.
   use_format(RecordFormat::V2);
-  if (task_record_format(value) > c::kRecordFormat) return RecordLoadResult::TooNew;
+  const std::optional<int> format = task_record_format(value);
+  if (format && *format > c::kRecordFormat) return RecordLoadResult::TooNew;
   if (key.job != loading_job_) load_pending_v2();
   if (!state_.job(key.job)) return RecordLoadResult::Garbage;
   loading_job_ = key.job;
@@ -240,12 +246,17 @@
     const auto& [from, loaded] = *it;
     int end = std::min(job->spec.tasks, from + task_record_count(loaded.value));
     if (auto next = std::next(it); next != loading_.end()) end = std::min(end, next->first);
+    const std::optional<DecodedTaskRecord> decoded = decode_task_record_v2(loaded.value);
+    if (!decoded || !task_record_format(loaded.value)) {
+      hold(*job, task_record_key_v2(job->spec.id, from));
+      continue;
+    }
     if (end <= from) continue;
     job->tasks_per_record = std::max(1, task_record_stride(loaded.value, job->tasks_per_record));
     TaskRecord& record = job->task_records[from];
     record.count = end - from;
     record.revision = loaded.revision;
-    recover(*job, from, record.count, decode_task_record_v2(loaded.value));
+    recover(*job, from, record.count, *decoded);
   }
   loading_.clear();
   loading_job_.clear();
@@ -257,15 +268,27 @@
   Job* job = state_.job(key.job);
   if (!job || key.number < 0) return RecordLoadResult::Garbage;
   if (!job->tasks_per_record) job->tasks_per_record = state_.config().tasks_per_v1_record();
+  if (key.number > job->spec.tasks / job->tasks_per_record) return RecordLoadResult::Garbage;
   const int base = key.number * job->tasks_per_record;
   if (base >= job->spec.tasks) return RecordLoadResult::Garbage;
   auto [from, record] = record_containing(*job, base);
   if (from != base || record.revision) return RecordLoadResult::Garbage;
   record.v1_revision = revision;
-  recover(*job, base, record.count, decode_task_record_v1(value));
+  if (const auto decoded = decode_task_record_v1(value))
+    recover(*job, base, record.count, *decoded);
+  else
+    hold(*job, task_record_key_v1(key.job, key.number));
   return RecordLoadResult::Loaded;
 }
 
+// Guards against a second start of tasks that the record would name: the job is not scheduled, and what its
+// machines still report of it is stopped.
+void TaskRecordStore::hold(Job& job, const std::string& key) {
+  job.not_before = kNever;
+  job.why = "waiting: its stored record cannot be read";
+  state_.note("record " + key + " cannot be read: no task of job " + job.spec.id + " is started");
+}
+
 void TaskRecordStore::recover(Job& job, int from, int count, const DecodedTaskRecord& record) {
   for (const TaskRange& range : record.done)
     for (int i = range.first; i <= range.last && i < count; ++i) recover_done(job, from + i);
--- a/src/scheduler/task_record_store.h
+++ b/src/scheduler/task_record_store.h
@@ -102,6 +102,8 @@
   RecordLoadResult load_v1(const TaskRecordKey& key, const nlohmann::json& value, std::uint64_t revision);
   RecordLoadResult load_v2(const TaskRecordKey& key, const nlohmann::json& value, std::uint64_t revision);
   void load_pending_v2();
+  /// Keeps the job from being scheduled, since a record of its tasks cannot be read.
+  void hold(Job& job, const std::string& key);
   void recover(Job& job, int from, int count, const DecodedTaskRecord& record);
   void recover_active(Job& job, int index, ActiveTask task);
 
--- a/src/state_store/catalog.cc
+++ b/src/state_store/catalog.cc
@@ -34,7 +34,7 @@
 }
 
 void Catalog::cloud_answered(const http::Result& result, bool store) {
-  auto body = result.ok() ? codec::unpack(result.body) : std::nullopt;
+  auto body = result.ok() ? codec::unpack_answer(result.body) : std::nullopt;
   auto types = body ? codec::parse_catalog(*body) : std::vector<MachineType>{};
   if (types.empty()) {
     if (!types_.empty()) return refresh_later();
--- a/src/state_store/dependency_barrier_record.cc
+++ b/src/state_store/dependency_barrier_record.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "event_loop.h"
+#include "wire_fields.h"
 
 namespace corkmux {
 
@@ -11,7 +12,7 @@
 }
 
 double parse_dependency_barrier(const codec::Json& record) {
-  return steady_now() - std::max(0.0, wall_now() - record.value("t", 0.0));
+  return steady_now() - std::max(0.0, wall_now() - codec::number(record, "t"));
 }
 
 }  // namespace corkmux
--- a/src/state_store/job_record.cc
+++ b/src/state_store/job_record.cc
@@ -1,13 +1,18 @@
 #include "job_record.h"
 
+#include <algorithm>
+
 #include "event_loop.h"
+#include "wire_constants.h"
+#include "wire_fields.h"
 
 namespace corkmux {
 namespace {
 
 std::optional<double> time_in(const codec::Json& record) {
-  if (!record.contains("t")) return std::nullopt;
-  return record.value("t", 0.0);
+  const codec::Json* time = codec::field(record, "t");
+  if (!time || !time->is_number()) return std::nullopt;
+  return time->get<double>();
 }
 
 }  // namespace
@@ -23,7 +28,7 @@
   return job;
 }
 
-bool is_marked_cancelled(const codec::Json& record) { return record.value("c", 0) != 0; }
+bool is_marked_cancelled(const codec::Json& record) { return codec::number(record, "c") != 0; }
 
 StoredJobRecord StoredJobRecord::for_new_job(const JobSpec& job) {
   return StoredJobRecord(codec::Json{{"j", codec::job_to_wire(job)}, {"c", 0}, {"t", wall_now()}});
@@ -39,13 +44,16 @@
   return job == stored_.end() || !job->is_object() || job->contains("awaits");
 }
 
-void StoredJobRecord::mark_cancelled() { stored_["c"] = 1; }
+void StoredJobRecord::mark_cancelled() {
+  if (!stored_.is_object()) stored_ = codec::Json::object();  // an unreadable record is replaced
+  stored_["c"] = 1;
+}
 
 codec::Json cancel_mark_to_json() { return codec::Json{{"c", 1}}; }
 
 codec::Json job_piece_to_json(std::string text) { return codec::Json{{"x", std::move(text)}}; }
 
-std::string parse_job_piece(const codec::Json& piece) { return piece.value("x", ""); }
+std::string parse_job_piece(const codec::Json& piece) { return codec::text(piece, "x"); }
 
 std::optional<JobSpec> parse_joined_spec(const std::string& text) {
   return codec::parse_job(codec::Json::parse(text, nullptr, false)).job;
@@ -58,7 +66,8 @@
 }
 
 JobOutcomeRecord parse_job_outcome(const codec::Json& record) {
-  return {record.value("p", ""), record.value("n", 0), time_in(record)};
+  const auto tasks_done = std::min<std::uint64_t>(codec::integer(record, "n"), constants::kMaxTasks);
+  return {codec::text(record, "p"), static_cast<int>(tasks_done), time_in(record)};
 }
 
 }  // namespace corkmux
--- a/src/state_store/job_record.h
+++ b/src/state_store/job_record.h
@@ -42,7 +42,7 @@
   bool has_dependencies() const;
   void mark_cancelled();
   /// Size in the state store, bytes.
-  std::size_t size() const { return stored_.dump().size(); }
+  std::size_t size() const { return codec::json_size(stored_); }
   const codec::Json& json() const { return stored_; }
 
  private:
--- a/src/state_store/leader_record.cc
+++ b/src/state_store/leader_record.cc
@@ -1,11 +1,13 @@
 #include "leader_record.h"
 
+#include "wire_fields.h"
+
 namespace corkmux {
 
 codec::Json to_json(const LeaderRecord& leader) { return {{"label", leader.label}, {"term", leader.term}}; }
 
 LeaderRecord parse_leader_record(const codec::Json& record) {
-  return {record.value("label", ""), record.value("term", std::uint64_t{0})};
+  return {codec::text(record, "label"), codec::integer(record, "term")};
 }
 
 codec::Json term_record_to_json(std::uint64_t term) { return codec::Json{{"n", term}}; }
--- a/src/state_store/lease_proxy_record.cc
+++ b/src/state_store/lease_proxy_record.cc
@@ -13,7 +13,7 @@
   if (auto machines = record.find("m"); machines != record.end() && machines->is_array())
     for (const auto& machine : *machines)
       if (machine.is_string()) parsed.machines.push_back(machine.get<std::string>());
-  if (auto number = record.find("n"); number != record.end() && number->is_number_integer())
+  if (auto number = record.find("n"); number != record.end() && number->is_number_unsigned())
     parsed.number = number->get<std::uint64_t>();
   return parsed;
 }
--- a/src/state_store/record_format_declaration.cc
+++ b/src/state_store/record_format_declaration.cc
@@ -4,8 +4,18 @@
 
 #include "constants.h"
 #include "store_keys.h"
+#include "wire_constants.h"
+#include "wire_fields.h"
 
 namespace corkmux {
+namespace {
+
+/// Numbers above kMaxTasks read as that.
+int small_number(const codec::Json& record, const char* field) {
+  return static_cast<int>(std::min<std::uint64_t>(codec::integer(record, field), constants::kMaxTasks));
+}
+
+}  // namespace
 
 codec::Json to_json(const RecordFormatDeclaration& declaration) {
   return {{"f", declaration.format}, {"per", declaration.v1_tasks_per_record}};
@@ -13,9 +23,8 @@
 
 RecordFormatDeclaration parse_record_format_declaration(const codec::Json& record) {
   RecordFormatDeclaration declaration;
-  if (!record.is_object()) return declaration;
-  declaration.format = record.value("f", 0);
-  declaration.v1_tasks_per_record = record.value("per", 0);
+  declaration.format = small_number(record, "f");
+  declaration.v1_tasks_per_record = small_number(record, "per");
   return declaration;
 }
 
--- a/src/state_store/state_client.cc
+++ b/src/state_store/state_client.cc
@@ -40,7 +40,7 @@
   reply.status = status_of(result);
   reply.sent_at = sent_at;
   if (result.body.empty()) return reply;
-  if (auto body = codec::unpack(result.body)) reply.body = std::move(*body);
+  if (auto body = codec::unpack_answer(result.body)) reply.body = std::move(*body);
   return reply;
 }
 
--- a/src/wire/cloud_codec.cc
+++ b/src/wire/cloud_codec.cc
@@ -1,8 +1,10 @@
 #include "cloud_codec.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
+#include "ipv4_address.h"
 #include "wire_fields.h"
 #include "wire_names.h"
 
@@ -14,15 +16,18 @@
 constexpr double kMinFetchRate = 1e-3;   // GB/s; prevents a division by zero if the catalog gives no rate
 constexpr double kDefaultBootTime = 60;  // s
 
-MachineType parse_type(const Json& body) {
+/// Nullopt if the type has no valid name. An amount that is missing or out of range reads as its default.
+std::optional<MachineType> parse_type(const Json& body) {
   MachineType type;
   type.name = text(body, kTypeName);
-  type.size = {number(body, kCpus), number(body, kGpus), number(body, kMemoryGb)};
-  type.cache_gb = number(body, kCacheGb);
-  type.fetch_gb_per_s = std::max(kMinFetchRate, number(body, kFetchRate, 1));
-  type.price = number(body, kPrice);
-  type.spot_price = number(body, kSpotPrice);
-  type.boot_s = number(body, kBootTime, kDefaultBootTime);
+  if (!is_valid_name(type.name)) return std::nullopt;
+  type.size = {amount(body, kCpus).value_or(0), amount(body, kGpus).value_or(0),
+               amount(body, kMemoryGb).value_or(0)};
+  type.cache_gb = amount(body, kCacheGb).value_or(0);
+  type.fetch_gb_per_s = std::max(kMinFetchRate, amount(body, kFetchRate).value_or(1));
+  type.price = amount(body, kPrice).value_or(0);
+  type.spot_price = amount(body, kSpotPrice).value_or(0);
+  type.boot_s = amount(body, kBootTime).value_or(kDefaultBootTime);
   type.zones = texts(body, kZones);
   return type;
 }
@@ -33,15 +38,18 @@
   return ListedMachine::Phase::Running;
 }
 
-ListedMachine parse_machine(const Json& body) {
+/// Nullopt if the machine has no valid name. An invalid address reads as empty.
+std::optional<ListedMachine> parse_machine(const Json& body) {
   ListedMachine machine;
   machine.name = text(body, kMachineName);
+  if (!is_valid_name(machine.name)) return std::nullopt;
   machine.address = text(body, kAddress);
+  if (!parse_ipv4_address(machine.address)) machine.address.clear();
   machine.type = text(body, kMachineType);
   machine.zone = text(body, kZone);
   machine.spot = flag(body, kSpot);
   machine.phase = parse_phase(text(body, kPhase));
-  machine.age_s = number(body, kAge);
+  machine.age_s = amount(body, kAge).value_or(0);
   return machine;
 }
 
@@ -52,8 +60,7 @@
   const Json* list = list_field(body, kMachineTypes);
   if (!list) return types;
   for (const auto& item : *list) {
-    auto type = parse_type(item);
-    if (!type.name.empty()) types.push_back(std::move(type));
+    if (auto type = parse_type(item)) types.push_back(std::move(*type));
   }
   return types;
 }
@@ -79,7 +86,11 @@
   return {{kRequestId, request}, {kMachineType, type}, {kZone, zone}, {kSpot, spot}, {kCount, count}};
 }
 
-std::vector<std::string> parse_provisioned(const Json& body) { return texts(body, kMachines); }
+std::vector<std::string> parse_provisioned(const Json& body) {
+  auto names = texts(body, kMachines);
+  std::erase_if(names, [](const std::string& name) { return !is_valid_name(name); });
+  return names;
+}
 
 bool is_no_capacity(const Json& body) { return text(body, kError) == kNoCapacity; }
 
@@ -96,8 +107,7 @@
   const Json* list = list_field(body, kMachines);
   if (!list) return out;
   for (const auto& item : *list) {
-    auto machine = parse_machine(item);
-    if (!machine.name.empty()) out.machines.push_back(std::move(machine));
+    if (auto machine = parse_machine(item)) out.machines.push_back(std::move(*machine));
   }
   return out;
 }
--- a/src/wire/wire_fields.cc
+++ b/src/wire/wire_fields.cc
@@ -1,8 +1,8 @@
 #include "wire_fields.h"
 
 #include <algorithm>
-#include <cmath>
 
+#include "utf8.h"
 #include "wire_constants.h"
 
 namespace corkmux::codec {
@@ -28,6 +28,14 @@
   return value && value->is_number() ? value->get<double>() : default_value;
 }
 
+std::optional<double> amount(const Json& map, const char* name) {
+  const Json* value = field(map, name);
+  if (!value || !value->is_number()) return std::nullopt;
+  const auto out = value->get<double>();
+  // Written so that NaN, which compares false, is refused.
+  return out >= 0 && out <= constants::kMaxAmount ? std::optional(out) : std::nullopt;
+}
+
 std::uint64_t integer(const Json& map, const char* name) {
   const Json* value = field(map, name);
   if (!value || !value->is_number_integer()) return 0;
@@ -52,7 +60,8 @@
 
 bool is_valid_name(std::string_view name) {
   if (name.empty() || name.size() > constants::kMaxText) return false;
-  return std::none_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' ' || c == 127; });
+  return is_utf8(name) &&
+         std::none_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' ' || c == 127; });
 }
 
 std::string need_text(const Json& map, const char* name) {
@@ -64,10 +73,9 @@
 double need_amount(const Json& map, const char* name) {
   const Json* value = field(map, name);
   if (!value || !value->is_number()) throw FieldError{name, "missing or not a number"};
-  auto amount = value->get<double>();
-  if (!std::isfinite(amount) || amount < 0 || amount > constants::kMaxAmount)
-    throw FieldError{name, "out of range"};
-  return amount;
+  auto in_range = amount(map, name);
+  if (!in_range) throw FieldError{name, "out of range"};
+  return *in_range;
 }
 
 bool need_flag(const Json& map, const char* name) {
--- a/src/wire/wire_fields.h
+++ b/src/wire/wire_fields.h
@@ -1,5 +1,5 @@
-// Reads single fields of a decoded body, for the codecs of this folder only. A field that is missing or of
-// another type reads as empty; the need_ functions throw FieldError instead.
+// Reads single fields of a decoded body or of a stored record, for codecs and record formats. A field that is
+// missing or of another type reads as empty; the need_ functions throw FieldError instead.
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -18,6 +18,8 @@
 const Json* list_field(const Json& map, const char* name);
 std::string text(const Json& map, const char* name);
 double number(const Json& map, const char* name, double default_value = 0);
+/// An amount: finite, not negative, at most kMaxAmount; nullopt for any other value.
+std::optional<double> amount(const Json& map, const char* name);
 /// Negative numbers read as 0.
 std::uint64_t integer(const Json& map, const char* name);
 bool flag(const Json& map, const char* name);
--- a/src/wire/worker_codec.cc
+++ b/src/wire/worker_codec.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "ipv4_address.h"
 #include "name_table.h"
 #include "wire_constants.h"
 #include "wire_fields.h"
@@ -94,11 +95,12 @@
   if (!is_valid_name(heartbeat.machine) || !is_valid_name(heartbeat.type) || !is_valid_name(heartbeat.zone) ||
       heartbeat.address.size() > constants::kMaxAddress)
     return std::nullopt;
+  if (!heartbeat.address.empty() && !parse_ipv4_address(heartbeat.address)) return std::nullopt;
   heartbeat.spot = flag(body, kSpot);
   heartbeat.worker_epoch = integer(body, kWorkerEpoch);
   heartbeat.seq = integer(body, kSequence);
   heartbeat.fencing_token = integer(body, kFencingToken);
-  if (field(body, kNotice)) heartbeat.notice_s = number(body, kNotice);
+  if (field(body, kNotice)) heartbeat.notice_s = amount(body, kNotice).value_or(0);
   if (const Json* statuses = list_field(body, kTaskStatuses)) {
     heartbeat.tasks.reserve(statuses->size());
     for (const auto& item : *statuses)
