A launch held back by a cut no longer starts a cancelled task

Callers saw ran_cancelled: a task of a cancelled job started after cancel_s, when a zone partition that had held its launch back ended.

Cause: a lease proxy kept the worker's epoch and its former fencing token for as long as the partition lasted, so nothing fenced the launch under way. The leader's raised token travels in its own answers only, and the store relay does not carry heartbeats that are too long for a record, or too many of them.

The proxy now passes on the lowest token of the latest term, below all commands of that term and above those of all earlier ones, and a leader whose own unanswered launch of a cancelled job cannot be fenced otherwise begins a new term after half of keepalive. At most one such term per partition: launches of earlier terms do not ask for another.

Log lines say by which route and on which knowledge leases are renewed, and a report of a task past cancel_s is logged as a violation.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -101,6 +101,7 @@
 void Controller::leader_changed(const std::string& label, std::uint64_t term) {
   peer_exchange_.leader_changed(label, term);
   worker_endpoint_.leader_changed(label);
+  lease_proxy_.term_changed(term);
   store_relay_.accept_requests(label == own_label_);
   forwarder_.tell([label](fanin::HeartbeatForwarder& forwarder) { forwarder.leader_changed(label); });
 }
--- a/src/controller/lease_proxy.cc
+++ b/src/controller/lease_proxy.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "constants.h"
@@ -9,6 +10,11 @@
 #include "mutation.h"
 
 namespace corkmux {
+namespace {
+
+constexpr double kRenewalLogInterval = 10;  // s
+
+}  // namespace
 
 LeaseProxy::LeaseProxy(Loop& loop, const Settings& settings, StateClient& state)
     : Actor(loop),
@@ -43,6 +49,10 @@
   if (waiting_.size() == 1) write();
 }
 
+void LeaseProxy::term_changed(std::uint64_t term) {
+  if (term <= constants::kLastTerm) lowest_token_ = std::max(lowest_token_, lowest_token(term));
+}
+
 void LeaseProxy::release(const std::string& machine) {
   if (last_heartbeat_at_.erase(machine)) name_bytes_ -= LeaseProxyRecords::bytes_of(machine);
 }
@@ -129,20 +139,37 @@
   for (const auto& task : waiting.heartbeat.tasks) jobs.push_back(task.job);
   unfinished_jobs_.look_up(std::move(jobs),
                            [this, waiting = std::move(waiting)](UnfinishedJobs::Result result) {
-                             if (result == UnfinishedJobs::Result::Unreadable)
-                               return waiting.reply(std::nullopt);
-                             answer(waiting);
+                             if (result == UnfinishedJobs::Result::Known) return answer(waiting);
+                             ++refusals_;
+                             waiting.reply(std::nullopt);
                            });
 }
 
-void LeaseProxy::answer(const Waiting& waiting) const {
+void LeaseProxy::answer(const Waiting& waiting) {
   const Heartbeat& heartbeat = waiting.heartbeat;
-  if (!has_valid_record(heartbeat.machine)) return waiting.reply(std::nullopt);
+  if (!has_valid_record(heartbeat.machine)) {
+    ++refusals_;
+    return waiting.reply(std::nullopt);
+  }
   std::vector<TaskCommand> stops;
   for (const auto& task : heartbeat.tasks)
     if (!unfinished_jobs_.contains(task.job) && task.state != TaskState::Exited)
       stops.push_back({TaskCommand::Op::Stop, task.job, task.index, task.attempt, 0});
-  waiting.reply(codec::pack(codec::commands_to_wire(heartbeat.fencing_token, stops, std::nullopt)));
+  ++renewals_;
+  stops_ += static_cast<int>(stops.size());
+  log_renewals();
+  const std::uint64_t token = std::max(heartbeat.fencing_token, lowest_token_);
+  waiting.reply(codec::pack(codec::commands_to_wire(token, stops, std::nullopt)));
+}
+
+/// Logs one line for all workers, at most every kRenewalLogInterval.
+void LeaseProxy::log_renewals() {
+  double now = steady_now();
+  if (now - logged_at_ < kRenewalLogInterval) return;
+  logged_at_ = now;
+  spdlog::info("leases renewed by proxy: machines={} renewals={} stops={} refused={}",
+               last_heartbeat_at_.size(), std::exchange(renewals_, 0), std::exchange(stops_, 0),
+               std::exchange(refusals_, 0));
 }
 
 }  // namespace corkmux
--- a/src/controller/lease_proxy.h
+++ b/src/controller/lease_proxy.h
@@ -3,10 +3,14 @@
 //
 // Owns the set of workers named in this controller's records. A worker is answered only while a record that
 // names it was written within the last lease_proxy_span(). The answer carries the fencing token that the
-// worker already has, and no commands except to stop tasks of jobs that are over. A leader counts a worker as
-// dead only when a whole lease has passed since the record could last have been used.
+// worker already has, or the lowest token of the latest term if that is higher: then commands of former
+// leaders that arrive late are refused, as they are at workers that the leader itself answers. It carries no
+// commands except to stop tasks of jobs that are over. A leader counts a worker as dead only when a whole
+// lease has passed since the record could last have been used.
 #pragma once
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -16,6 +20,7 @@
 
 #include "lease_proxy_records.h"
 #include "model.h"
+#include "sequence_numbers.h"
 #include "settings.h"
 #include "state_client.h"
 #include "time_constants.h"
@@ -39,6 +44,8 @@
   // Messages.
   /// Renews the lease of the heartbeat's worker, once a record names the worker.
   void renew(Heartbeat heartbeat, ReplyCallback reply);
+  /// Another term was observed; 0: none.
+  void term_changed(std::uint64_t term);
   /// Stops naming the worker, which reaches the leader again.
   void release(const std::string& machine);
 
@@ -57,10 +64,12 @@
   void finish_write(bool ok);
   /// Answers after a read showed which jobs of the heartbeat's tasks are unfinished.
   void check_jobs(Waiting waiting);
-  void answer(const Waiting& waiting) const;
+  void answer(const Waiting& waiting);
+  void log_renewals();
 
-  double record_validity_;  // s after its write for which a record allows renewals
-  double forget_after_;     // s without a heartbeat until a worker is no longer named
+  std::uint64_t lowest_token_ = 0;  // of the latest term
+  double record_validity_;          // s after its write for which a record allows renewals
+  double forget_after_;             // s without a heartbeat until a worker is no longer named
   LeaseProxyRecords records_;
   UnfinishedJobs unfinished_jobs_;
   std::map<std::string, double> last_heartbeat_at_;  // machine -> when its last heartbeat arrived
@@ -70,6 +79,11 @@
   bool writing_ = false;
   int consecutive_conflicts_ = 0;  // writes in a row that conflicted
   std::vector<Waiting> waiting_;   // for a record that names their machine
+  // Since the last log line:
+  int renewals_ = 0;
+  int stops_ = 0;     // tasks told to stop
+  int refusals_ = 0;  // without a record, or without the list of unfinished jobs
+  double logged_at_ = kLongAgo;
   Timer write_timer_;
 };
 
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -276,12 +276,17 @@
     state.lease_monitor->tick();
   }
   if (!state.term.resigning) reserve_numbers();
+  if (confirmed && !state.term.resigning) fence_cancelled_launches(now);
+  if (!leading()) return;
   state.dispatcher->sweep();
   forget_unknown_machines(now);
   push_views();
   check_worker_reachability();
   answer_parked();
   react();
+  if (!leading()) return;
+  leadership_->renewals.log_if_due(now, leadership_->term.number,
+                                   now - leadership_->cancels->complete_until());
 }
 
 /// Fencing tokens and attempts are numbered within a term: before they are used up, a further term is
@@ -298,6 +303,16 @@
   });
 }
 
+/// Lease proxies pass the lowest token of the term to their workers, so the next term's token reaches workers
+/// that this leader does not reach.
+void Leader::fence_cancelled_launches(double now) {
+  auto launch = leadership_->scheduler->find_unfenced_launch(now);
+  if (!launch) return;
+  spdlog::warn("a launch of task {}/{} was not answered and its job is cancelled: a new term fences it",
+               launch->job, launch->index);
+  give_up(StepDownReason::LaunchNotFenced, 0);
+}
+
 void Leader::log_state_store_reachability(bool unreachable) {
   if (std::exchange(leadership_->state_store_unreachable, unreachable) == unreachable) return;
   spdlog::warn(
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -102,6 +102,7 @@
 
   void tick();
   void reserve_numbers();
+  void fence_cancelled_launches(double now);
   void log_state_store_reachability(bool unreachable);
   void forget_unknown_machines(double now);
   void check_worker_reachability();
--- a/src/leader/leader_heartbeats.cc
+++ b/src/leader/leader_heartbeats.cc
@@ -22,6 +22,15 @@
   bool outermost_;
 };
 
+namespace {
+
+RenewalDecision renewal_route(const IncomingHeartbeat& incoming) {
+  if (incoming.route == HeartbeatRoute::StoreRelay) return RenewalDecision::StoreRelay;
+  return incoming.forwarder.empty() ? RenewalDecision::Direct : RenewalDecision::Forwarded;
+}
+
+}  // namespace
+
 // ---------------------------------------------------------------- single heartbeats
 
 void Leader::heartbeat(Heartbeat heartbeat, HeartbeatRoute route, HeartbeatCallback reply) {
@@ -43,8 +52,10 @@
   if (incoming.route == HeartbeatRoute::Direct) leadership_->reachability.heartbeat_received(now);
   // Without an answer of the state store this leader may have been replaced, and may miss cancels: leases are
   // renewed only as long as a cancel can still be carried out in time.
-  if (now - leadership_->cancels->complete_until() > scheduler.config().keepalive())
+  if (now - leadership_->cancels->complete_until() > scheduler.config().keepalive()) {
+    leadership_->renewals.count(RenewalDecision::CancelsUnknown);
     return incoming.reply({});
+  }
   if (spdlog::should_log(spdlog::level::debug) && !scheduler.machine(heartbeat.machine))
     spdlog::debug("first heartbeat of machine {}: {} in {}", heartbeat.machine, heartbeat.type,
                   heartbeat.zone);
@@ -53,11 +64,13 @@
   if (incoming.route == HeartbeatRoute::StoreRelay) scheduler.set_unreachable(heartbeat.machine, now);
   auto result = scheduler.on_heartbeat(heartbeat, Scheduler::Channel::Heartbeat, now);
   if (result.superseded) {
+    leadership_->renewals.count(RenewalDecision::ForeignToken);
     incoming.reply({});
     return election_.verify();
   }
   leadership_->dispatcher->set_forwarder(heartbeat.machine, incoming.forwarder);
   scheduler.heartbeat_answered(heartbeat.machine, now);
+  leadership_->renewals.count(renewal_route(incoming));
   auto commands = codec::commands_to_wire(result.fencing_token, result.commands, std::nullopt);
   incoming.reply({HeartbeatReply::Status::Answered, codec::pack(commands)});
   react();
--- a/src/leader/leadership_state.h
+++ b/src/leader/leadership_state.h
@@ -15,6 +15,7 @@
 #include "machine_provisioner.h"
 #include "parked_heartbeats.h"
 #include "record_format_upgrade.h"
+#include "renewal_log.h"
 #include "scheduler.h"
 #include "stall_detector.h"
 #include "state_loader.h"
@@ -36,6 +37,7 @@
   HeartbeatDeltaCache heartbeat_deltas;
   StallDetector stall_detector;
   WorkerReachability reachability;
+  RenewalLog renewals;
 
   // Created, in this order, once the record formats are known.
   std::unique_ptr<Scheduler> scheduler;
--- a/src/leader/term.cc
+++ b/src/leader/term.cc
@@ -12,6 +12,8 @@
       return "a peer reported a newer leader";
     case StepDownReason::WorkerFollowsNewerLeader:
       return "a worker follows a newer leader";
+    case StepDownReason::LaunchNotFenced:
+      return "a launch of a cancelled job may still arrive at a worker that this term's tokens do not reach";
     case StepDownReason::TokensSuperseded:
       return "workers need fencing tokens of a higher term";
     case StepDownReason::HandlerFailed:
--- a/src/leader/term.h
+++ b/src/leader/term.h
@@ -25,6 +25,7 @@
   LeaderRecordChanged,  // a write conflicted with another leader's record
   PeerReportedNewerLeader,
   WorkerFollowsNewerLeader,
+  LaunchNotFenced,     // only a higher token, of a new term, fences a launch of a cancelled job in time
   TokensSuperseded,    // workers have higher fencing tokens than this term's, or these are used up
   HandlerFailed,       // an unexpected exception: the scheduler's state may be incomplete
   UnreadableRecords,   // a newer version of corkmux has written the stored state
--- a/src/scheduler/heartbeat_reconciler.cc
+++ b/src/scheduler/heartbeat_reconciler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cancel_deadline.h"
 #include "mutation.h"
 
 namespace corkmux {
@@ -146,6 +147,7 @@
     return;
   }
   pass.present.insert({status.job, status.index});
+  check_cancel_deadline(pass, *job);
   const Stage before = task->stage;
   task->stage = stage_of(status.state);
   if (task->stage == Stage::Running && !task->running_at) task->running_at = pass.now;
@@ -158,6 +160,15 @@
     pass.result.commands.push_back(command(TaskCommand::Op::Stop, status, task->grace_s));
 }
 
+// The worker is told to stop the task in any case; the line says that a rule of the protocol is violated.
+void HeartbeatReconciler::check_cancel_deadline(const Reconciliation& pass, Job& job) {
+  if (job.cancel_overdue_logged || !is_cancel_overdue(job, state_.config().cancel_s, pass.now)) return;
+  job.cancel_overdue_logged = true;
+  const int age_s = static_cast<int>(pass.now - *job.cancelled_at);
+  state_.note("violation of cancel_s: machine " + pass.machine.name + " reports a task of job " +
+              job.spec.id + ", cancelled_age_s=" + std::to_string(age_s));
+}
+
 void HeartbeatReconciler::apply_exit(Reconciliation& pass, const TaskStatus& status, Job* job,
                                      bool assigned) {
   if (assigned) {
--- a/src/scheduler/heartbeat_reconciler.h
+++ b/src/scheduler/heartbeat_reconciler.h
@@ -61,6 +61,7 @@
   void observe_token(const Heartbeat& heartbeat, Machine& machine, double now);
   void record_spot_notice(const Heartbeat& heartbeat, Machine& machine, double now);
   void apply_status(Reconciliation& pass, const TaskStatus& status);
+  void check_cancel_deadline(const Reconciliation& pass, Job& job);
   void acknowledge_ended_tasks(Reconciliation& pass);
   void mark_absent_tasks_lost(Reconciliation& pass);
   void update_load(Machine& machine, double now);
--- a/src/scheduler/job.h
+++ b/src/scheduler/job.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_set>
@@ -38,8 +39,10 @@
   int cursor = 0;                // no task with a lower index is queued
   std::map<int, ActiveTask> active;
   bool cancelled = false;
-  bool finalizing = false;  // the write of its end is in flight
-  bool draining = false;    // a gang whose members are being stopped with time to save
+  std::optional<double> cancelled_at;  // when this leader learned of the cancel
+  bool cancel_overdue_logged = false;  // a task of it was reported cancel_s after the cancel
+  bool finalizing = false;             // the write of its end is in flight
+  bool draining = false;               // a gang whose members are being stopped with time to save
 
   // Dependencies.
   bool dependency_cancelled = false;  // a dependency was cancelled; this job's own end is still to be stored
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "arrival_tracker.h"
+#include "cancel_deadline.h"
 #include "candidate_search.h"
 #include "cluster_state.h"
 #include "command_queue.h"
@@ -147,6 +148,11 @@
   /// Whether the leader has to begin a new term because tokens of this one are used up or superseded.
   bool needs_new_leader_term() const { return state_.sequence().needs_new_leader_term(); }
 
+  /// A launch of a cancelled job that only a new term fences in time, if any.
+  std::optional<TaskId> find_unfenced_launch(double now) const {
+    return corkmux::find_unfenced_launch(state_, lifecycle_.ending(), now);
+  }
+
   // --- time and placement ---
   void tick(double now);
   /// The process was stalled until now and received no heartbeats, so machines do not count as silent.
--- a/src/scheduler/sequence_numbers.cc
+++ b/src/scheduler/sequence_numbers.cc
@@ -5,7 +5,7 @@
 namespace corkmux {
 namespace c = constants;
 
-SequenceNumbers::SequenceNumbers(std::uint64_t term) : base_(term << c::kTermShift), last_(base_) {}
+SequenceNumbers::SequenceNumbers(std::uint64_t term) : base_(lowest_token(term)), last_(base_) {}
 
 std::optional<std::uint64_t> SequenceNumbers::next() {
   if (left() == 0) {
@@ -27,6 +27,6 @@
   return std::nullopt;
 }
 
-void SequenceNumbers::continue_in(std::uint64_t term) { last_ = std::max(last_, term << c::kTermShift); }
+void SequenceNumbers::continue_in(std::uint64_t term) { last_ = std::max(last_, lowest_token(term)); }
 
 }  // namespace corkmux
--- a/src/scheduler/sequence_numbers.h
+++ b/src/scheduler/sequence_numbers.h
@@ -24,6 +24,10 @@
 
 }  // namespace constants
 
+/// The lowest fencing token of a term. No command carries it: those of the term have higher ones, and those
+/// of all earlier terms lower ones.
+inline std::uint64_t lowest_token(std::uint64_t term) { return term << constants::kTermShift; }
+
 class SequenceNumbers {
  public:
   explicit SequenceNumbers(std::uint64_t term);
--- a/src/scheduler/task_lifecycle.cc
+++ b/src/scheduler/task_lifecycle.cc
@@ -193,6 +193,7 @@
 
 void TaskLifecycle::cancel(Job& job, double now) {
   job.cancelled = true;
+  job.cancelled_at = now;
   withdraw_unsent(job, now);
   for (const auto& [index, task] : job.active) state_.request_stop(job, index, 0);
   note_ending(job.spec.id);
--- a/tests/lease_proxy_test.cc
+++ b/tests/lease_proxy_test.cc
@@ -55,6 +55,21 @@
   EXPECT_EQ(parse_lease_proxy_record(state.values().at("k/one")).machines, std::vector<std::string>{"n-1"});
 }
 
+TEST_F(LeaseProxyTest, PassesOnTheLatestTermSoThatLateCommandsOfFormerLeadersAreRefused) {
+  put({{"j", 1}, {"c", 0}});
+  lease_proxy->term_changed(7);
+  lease_proxy->term_changed(0);
+  EXPECT_EQ(renew().second["baton"], lowest_token(7));
+  heartbeat.fencing_token = lowest_token(7) + 5;
+  EXPECT_EQ(renew().second["baton"], lowest_token(7) + 5);
+}
+
+TEST_F(LeaseProxyTest, IgnoresATermThatNobodyCanClaim) {
+  put({{"j", 1}, {"c", 0}});
+  lease_proxy->term_changed(~std::uint64_t{0});
+  EXPECT_EQ(renew().second["baton"], 41);
+}
+
 TEST_F(LeaseProxyTest, StopsTasksOfACancelledJob) {
   put({{"j", 1}, {"c", 1}});
   auto [status, body] = renew();
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -100,6 +100,20 @@
                                            CancelScenario{"slow-then-refused", 60, 104, 40}),
                          [](const auto& info) { return test_name(info.param.scenario); });
 
+// A simulation of this plan takes long, so fewer seeds are run.
+constexpr std::uint64_t kLaunchesHeldBackSeeds = 4;
+
+TEST(LaunchesHeldBack, StartNoCancelledTaskAtWorkersOfLeaseProxies) {
+  spdlog::set_level(spdlog::level::off);
+  for (std::uint64_t seed = 1; seed <= kLaunchesHeldBackSeeds; ++seed) {
+    ClusterSimulation simulation(load_plan(plan_file("partitions"), "launches-held-back"), seed);
+    simulation.run();
+    EXPECT_TRUE(simulation.good()) << "seed " << seed << "\n" << describe(simulation);
+    EXPECT_GT(simulation.checker().confirmed_cancellations(60, 89), 0);
+    EXPECT_GT(simulation.network().held_back(), 0u);
+  }
+}
+
 /// One combination of faults on the operators' page (docs/combined-faults.md). Its occurrences are counted
 /// over all seeds, since a run in which it did not occur proves nothing.
 struct CombinedFaultsScenario {
