Commands whose forwarder failed half way no longer count as unsent

A controller that forwards a batch of commands and fails while it does so answers 500. The leader took every status from 400 on as 'none was sent': it withdrew the launches without raising the machine's token, so that a task that had started counted as absent, with its quota, and could start elsewhere.

Only answers that come before any command is forwarded (4xx, 503) and batches that were not sent withdraw launches; whatever else happens, the deadline settles the commands as unanswered, which raises the token.

--- a/src/leader/command_dispatcher.cc
+++ b/src/leader/command_dispatcher.cc
@@ -29,6 +29,17 @@
   return Outcome::Unanswered;
 }
 
+/// Whether the controller that should forward the batch has forwarded none of its commands: it did not
+/// receive the batch, could not read it, or has no capacity for it. Any other failure may have come half way.
+bool certainly_not_forwarded(const http::Result& result) {
+  constexpr int kFirstClientError = 400;
+  constexpr int kFirstServerError = 500;
+  constexpr int kUnavailable = 503;
+  if (result.status == 0) return !result.sent;
+  const bool client_error = result.status >= kFirstClientError && result.status < kFirstServerError;
+  return client_error || result.status == kUnavailable;
+}
+
 }  // namespace
 
 CommandDispatcher::CommandDispatcher(Loop& loop, const Settings& settings, Term& term, Scheduler& scheduler,
@@ -123,10 +134,11 @@
   std::vector<std::uint64_t> ids;
   for (const auto& to_worker : commands) ids.push_back(to_worker.id);
   auto posted = [this, ids](const http::Result& result) {
-    // If the batch was accepted, an outcome follows for each worker. If the post was not answered, outcomes
-    // may still follow; otherwise the deadline settles the commands.
-    bool not_accepted = (result.status == 0 && !result.sent) || result.status >= 400;
-    if (!not_accepted && !mutation_enabled("an unanswered batch of commands counts as unsent")) return;
+    // If the batch was accepted, an outcome follows for each worker. If the post was not answered, or failed
+    // half way, outcomes may still follow; otherwise the deadline settles the commands.
+    if (!certainly_not_forwarded(result) &&
+        !mutation_enabled("an unanswered batch of commands counts as unsent"))
+      return;
     if (result.ok()) return;
     for (auto id : ids) settle_relayed(id, Outcome::Unsent, "");
   };
