A soak of the deployed controllers under random kills, pauses and losses

Trace: the leader returned machines that a paused controller had kept silent, and the stand-in cloud answered 200 while their workers went on. The stand-in was wrong, not the leader: it now ends the workers before it answers.

--- a/src/cmd/scale_test_main.cc
+++ b/src/cmd/scale_test_main.cc
@@ -125,6 +125,10 @@
   auto report = run.report();
   std::cout << report.to_text();
   if (!arguments.json.empty()) write_json(arguments.json, report);
+  if (auto why = report.not_run()) {
+    std::cerr << "not run: " << *why << "\n";
+    return kCannotRun;
+  }
   return report.good() ? 0 : kRulesBroken;
 }
 
@@ -147,6 +151,9 @@
   app.add_option("--teams", overrides.teams, "teams with quotas");
   app.add_option("--for", overrides.for_s, "s of load");
   app.add_option("--controllers", overrides.controllers, "controllers, one process each");
+  app.add_option("--seed", overrides.seed, "the seed, instead of the plan's");
+  app.add_option("--random-faults", overrides.random_faults,
+                 "draw so many faults from the seed, instead of the plan's");
   app.add_option("--json", arguments.json, "also write the report there as JSON");
   app.add_option("--controller-program", arguments.controller,
                  "the controllers' program; default: corkmux in this program's directory");
@@ -171,11 +178,16 @@
       "the\n"
       "rules of the protocol. Exits with status 1 if a rule was violated or less than half of a class or "
       "team\n"
-      "was served, with 2 if the plan is invalid or too large for this machine.\n"
+      "was served, with 2 if the plan or an option is invalid or too large for this machine, or if the run\n"
+      "could not do its work.\n"
       "Plans: benchmarks/scale/small.toml (seconds), benchmarks/scale/target.toml (the operators' fleet)."};
   Arguments arguments;
   add_options(app, arguments);
-  CLI11_PARSE(app, argc, argv);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : kCannotRun;
+  }
   log_to_stderr();
   return run_program("corkmux-scale-test", kCannotRun, [&] { return run_role(arguments); });
 }
--- a/src/scale_test/fault_injector.h
+++ b/src/scale_test/fault_injector.h
@@ -12,7 +12,6 @@
 
 namespace corkmux::scale_test {
 
-inline constexpr double kRestartDelay = 3;             // s from the kill of a controller to its restart
 inline constexpr double kRollingRestartInterval = 10;  // s between the controllers of a rolling restart
 
 class FaultInjector {
@@ -21,6 +20,7 @@
   struct Targets {
     ControllerGroup& controllers;
     HollowFleet& fleet;
+    MeasuredProcess& state_service;
     /// The number of the present leader; nullopt: there is none.
     std::function<std::optional<std::size_t>()> leader;
   };
@@ -33,10 +33,12 @@
   void stop() { stopped_ = true; }
 
  private:
-  void kill_leader();
-  void kill_follower();
+  std::optional<std::size_t> follower() const;
   void restart_all_controllers();
-  void restart_controller(std::size_t number);
+  void restart_controller(std::optional<std::size_t> number, double back_s);
+  void pause_controller(std::optional<std::size_t> number, double for_s);
+  void pause(MeasuredProcess& process, double for_s);
+  void pause_workers(double for_s);
   void lose_machines(const HollowFleet::MachineLoss& loss);
 
   Loop& loop_;
--- a/src/scale_test/hollow_fleet.cc
+++ b/src/scale_test/hollow_fleet.cc
@@ -9,6 +9,8 @@
 namespace corkmux::scale_test {
 namespace {
 
+// s until a deletion is answered: longer than the pause of a worker host (random_process_faults.cc).
+constexpr double kDeletionDelay = 2.5;
 constexpr double kCloudBurst = 2;  // s: burst of the request rate limit, as a duration at the full rate
 // The second octet of the workers' loopback addresses. Each run draws it at random, so that two runs on one
 // machine rarely get the same.
@@ -30,7 +32,10 @@
       zones_(plan.zone_names()),
       cloud_(loop, plan.types(), initial_capacity(), plan.site.list_lag_s,
              // operator[] also inserts an empty entry for a machine whose address is not reported yet.
-             {{}, {}, [this](const std::string& name) { return addresses_[name]; }}) {
+             {{},
+              [this](const std::string& name) { machine_deleted(name); },
+              [this](const std::string& name) { return addresses_[name]; }}) {
+  cloud_.deletion_delay_s = kDeletionDelay;
   cloud_.request_rate.set(plan_.site.cloud_rps, kCloudBurst);
   for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
     hosts_.push_back(std::make_unique<Host>(folder.file(fmt::format("host-{}.log", zone))));
@@ -53,6 +58,14 @@
   hosts_[zone]->to_boot.push_back(facts);
 }
 
+void HollowFleet::machine_deleted(const std::string& name) {
+  const auto zone = std::find(zones_.begin(), zones_.end(), machines_.at(name).zone) - zones_.begin();
+  HostInstructions& instructions = hosts_[static_cast<std::size_t>(zone)]->next_instructions;
+  instructions.lose.push_back(name);
+  instructions.why_lost = "was deleted";
+  addresses_.erase(name);
+}
+
 void HollowFleet::start_hosts(const std::vector<std::string>& command,
                               const std::map<std::string, std::string>& controllers) {
   int network = kFirstNetwork + static_cast<int>(std::random_device{}() % kNetworkCount);
--- a/src/scale_test/hollow_fleet.h
+++ b/src/scale_test/hollow_fleet.h
@@ -70,6 +70,8 @@
 
   std::vector<simulation::Capacity> initial_capacity() const;
   void add_machine(std::size_t zone, const std::string& type);
+  /// The cloud has deleted the machine: its host terminates the worker before the deletion is answered.
+  void machine_deleted(const std::string& name);
   std::vector<std::string> machines_of_zone(std::size_t zone) const;
   void boot_again(const std::vector<std::string>& lost);
   std::size_t shared_zones() const { return static_cast<std::size_t>(plan_.zones); }
--- a/src/scale_test/plan_overrides.cc
+++ b/src/scale_test/plan_overrides.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "random_process_faults.h"
+
 namespace corkmux::scale_test {
 
 void PlanOverrides::apply(ScaleTestPlan& plan, const std::string& file) const {
@@ -14,10 +16,12 @@
   if (starts_per_s > 0) plan.starts_per_s = starts_per_s;
   if (run_s > 0) plan.run_s = run_s;
   if (for_s > 0) plan.for_s = for_s;
+  if (seed) plan.seed = *seed;
   if (tasks_per_job > 0) plan.resize_arrays(static_cast<int>(tasks_per_job));
   if (plan.warm_s >= plan.for_s) throw SettingsError(file + ": warm_s: not shorter than the run");
   if (plan.workers <= plan.single_workers + plan.zones)
     throw SettingsError(file + ": workers: fewer than zones and single_workers");
+  if (random_faults > 0) plan.faults = draw_faults(plan, random_faults);
 }
 
 std::vector<std::string> PlanOverrides::to_arguments() const {
@@ -32,6 +36,7 @@
   add("--run-s", run_s);
   add("--for", for_s);
   add("--tasks-per-job", tasks_per_job);
+  if (seed) arguments.insert(arguments.end(), {"--seed", std::to_string(*seed)});
   return arguments;
 }
 
--- a/src/scale_test/plan_overrides.h
+++ b/src/scale_test/plan_overrides.h
@@ -2,6 +2,8 @@
 // count. The run passes the overrides on to the processes that it starts, so that all processes use the same
 // plan.
 #pragma once
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,8 @@
   double run_s = 0;
   double for_s = 0;
   double tasks_per_job = 0;  // size of every array
+  int random_faults = 0;     // faults drawn from the plan's seed, instead of the plan's
+  std::optional<std::uint64_t> seed;
 
   /// Applies the overrides to the plan. Throws SettingsError, whose message names the file and the field, if
   /// the resulting plan is invalid.
--- a/src/scale_test/run_report.cc
+++ b/src/scale_test/run_report.cc
@@ -89,11 +89,16 @@
 std::vector<std::string> RunReport::problems() const {
   if (results_.failure) return {"run: " + *results_.failure};
   auto problems = checker_.violations();
+  if (results_.unsettled) problems.push_back(*results_.unsettled);
   add_underserved("class", checker_.by_class(), problems);
   add_underserved("team", checker_.by_team(), problems);
   return problems;
 }
 
+std::optional<std::string> RunReport::not_run() const {
+  return checker_.violations().empty() ? results_.not_run : std::nullopt;
+}
+
 Json RunReport::role_usage(const RunResults::Processes& processes) const {
   double cores = 0;
   double cores_of_busiest = 0;
--- a/src/scale_test/run_report.h
+++ b/src/scale_test/run_report.h
@@ -21,10 +21,12 @@
 struct RunResults {
   using Processes = std::vector<MeasuredProcess*>;
 
-  std::optional<std::string> failure;  // why the run was aborted
-  double window_s = 0;                 // length of the measurement window; 0 if the window was not closed
-  bool leader_changed = false;         // between the window's opening and closing
-  Processes leader;                    // the controller that was leader when the window opened, if any
+  std::optional<std::string> failure;    // why the run was aborted
+  std::optional<std::string> not_run;    // why the run proves nothing, violations apart
+  std::optional<std::string> unsettled;  // what has not ended after the drain
+  double window_s = 0;                   // length of the measurement window; 0 if the window was not closed
+  bool leader_changed = false;           // between the window's opening and closing
+  Processes leader;                      // the controller that was leader when the window opened, if any
   Processes other_controllers;
   Processes state_service;
   Processes zone_hosts;
@@ -43,6 +45,8 @@
 
   /// Violated invariants and underserved classes and teams; or, if the run was aborted, the reason.
   std::vector<std::string> problems() const;
+  /// Why the run proves nothing; nullopt: it does, or it has violations.
+  std::optional<std::string> not_run() const;
   /// True if every invariant held and enough jobs of every class and team were served.
   bool good() const { return problems().empty(); }
   codec::Json to_json() const;
--- a/src/scale_test/scale_test_plan.cc
+++ b/src/scale_test/scale_test_plan.cc
@@ -36,6 +36,14 @@
       return "follower_killed";
     case Kind::WorkersGone:
       return "workers_gone";
+    case Kind::LeaderPaused:
+      return "leader_paused";
+    case Kind::FollowerPaused:
+      return "follower_paused";
+    case Kind::StateServicePaused:
+      return "state_paused";
+    case Kind::WorkersPaused:
+      return "workers_paused";
     case Kind::RackRestarted:
       return "rack_restarted";
     case Kind::ControllersRestarted:
--- a/src/scale_test/scale_test_plan.h
+++ b/src/scale_test/scale_test_plan.h
@@ -31,13 +31,27 @@
   double mean_tasks() const;
 };
 
+inline constexpr double kRestartDelay = 3;  // s from the kill of a controller to its restart, by default
+
 /// One fault of the run.
 struct Fault {
-  enum class Kind { LeaderKilled, FollowerKilled, WorkersGone, RackRestarted, ControllersRestarted };
+  enum class Kind {
+    LeaderKilled,
+    FollowerKilled,
+    WorkersGone,
+    RackRestarted,
+    ControllersRestarted,
+    LeaderPaused,  // the process is stopped (SIGSTOP) while its clocks run on
+    FollowerPaused,
+    StateServicePaused,  // requests are held back and executed late
+    WorkersPaused        // all workers of one zone
+  };
 
   double at_s = 0;  // since the start of the load
   Kind kind = Kind::LeaderKilled;
-  int count = 1;  // number of machines
+  int count = 1;                  // number of machines
+  double for_s = 0;               // of a pause
+  double back_s = kRestartDelay;  // from the kill of a controller to its restart
 
   /// The name of the kind in plan files and reports.
   static const char* name(Kind kind);
@@ -51,14 +65,15 @@
   int single_workers = 0;  // among the workers; each has its own zone and process
   int teams = 1;
   int controllers = 3;
-  double accelerators = 0;  // of all workers together
-  double starts_per_s = 0;  // of tasks
-  double run_s = 0;         // of a task
-  double task_cpus = 1;     // of each task
-  double warm_s = 0;        // duration of the load before the measurement window opens
-  double for_s = 0;         // duration of the load; the window closes at its end
-  double drain_s = 0;       // longest wait after the load for the jobs to end
-  double cancel_share = 0;  // of the jobs
+  double accelerators = 0;   // of all workers together
+  double starts_per_s = 0;   // of tasks
+  double run_s = 0;          // of a task
+  double task_cpus = 1;      // of each task
+  double warm_s = 0;         // duration of the load before the measurement window opens
+  double for_s = 0;          // duration of the load; the window closes at its end
+  double drain_s = 0;        // longest wait after the load for the jobs to end
+  double cancel_share = 0;   // of the jobs
+  bool must_settle = false;  // jobs that have not ended drain_s after the load are a problem
   double image_gb = 0;
   double fetch_gb_per_s = 1;
   int images = 1;  // of each class
--- a/src/scale_test/scale_test_plan_parser.cc
+++ b/src/scale_test/scale_test_plan_parser.cc
@@ -52,16 +52,19 @@
 Fault::Kind read_fault_kind(const Reader& reader) {
   auto name = reader.text("kind");
   for (auto kind : {Fault::Kind::LeaderKilled, Fault::Kind::FollowerKilled, Fault::Kind::WorkersGone,
-                    Fault::Kind::RackRestarted, Fault::Kind::ControllersRestarted})
+                    Fault::Kind::RackRestarted, Fault::Kind::ControllersRestarted, Fault::Kind::LeaderPaused,
+                    Fault::Kind::FollowerPaused, Fault::Kind::StateServicePaused, Fault::Kind::WorkersPaused})
     if (name == Fault::name(kind)) return kind;
   reader.fail("kind", "no such fault");
 }
 
 Fault read_fault(const Reader& reader) {
-  reader.only({"at_s", "kind", "count"});
+  reader.only({"at_s", "kind", "count", "for_s", "back_s"});
   Fault fault;
   fault.at_s = reader.amount("at_s", false);
   fault.count = static_cast<int>(reader.amount_or("count", 1));
+  fault.for_s = reader.amount_or("for_s", fault.for_s);
+  fault.back_s = reader.amount_or("back_s", fault.back_s);
   fault.kind = read_fault_kind(reader);
   return fault;
 }
@@ -85,6 +88,7 @@
   plan.for_s = top.amount("for_s", true);
   plan.drain_s = top.amount("drain_s", true);
   plan.cancel_share = top.amount_or("cancel_share", 0);
+  plan.must_settle = top.flag_or("must_settle", false);
   plan.image_gb = top.amount("image_gb", true);
   plan.images = read_count(top, "images", 1);
   plan.fetch_gb_per_s = top.amount("fetch_gb_per_s", true);
@@ -135,11 +139,11 @@
 ScaleTestPlan parse_scale_plan(const std::string& text, const std::string& file) {
   auto table = parse_toml(text, file);
   Reader top(file, table);
-  top.only(
-      {"name",        "seed",         "workers",      "zones",    "single_workers", "teams",
-       "controllers", "accelerators", "starts_per_s", "run_s",    "task_cpus",      "warm_s",
-       "for_s",       "drain_s",      "cancel_share", "image_gb", "images",         "fetch_gb_per_s",
-       "classes",     "faults",       "worker_times", "state",    "cloud",          "controller_limits"});
+  top.only({"name",      "seed",         "workers",        "zones",        "single_workers",
+            "teams",     "controllers",  "accelerators",   "starts_per_s", "run_s",
+            "task_cpus", "warm_s",       "for_s",          "drain_s",      "cancel_share",
+            "image_gb",  "images",       "fetch_gb_per_s", "must_settle",  "classes",
+            "faults",    "worker_times", "state",          "cloud",        "controller_limits"});
   ScaleTestPlan plan;
   read_fleet(top, plan);
   read_load(top, plan);
--- a/src/scale_test/scale_test_run.h
+++ b/src/scale_test/scale_test_run.h
@@ -81,6 +81,9 @@
   /// Waits until every job has ended, but at most the plan's drain_s, and finishes the run.
   void drain();
   void finish();
+  void note_unsettled();
+  /// Keeps the run's folder, with the faults beside the logs of all processes, if an invariant was violated.
+  void keep_logs_of_violations();
   void fail(const std::string& why);
   void end();
   void log_progress();
@@ -117,6 +120,9 @@
   std::optional<double> window_closed_at_;
   bool ended_ = false;
   std::optional<std::string> failure_;
+  std::optional<std::string> not_run_;    // why the run proves nothing
+  std::optional<std::string> unsettled_;  // what has not ended after the drain
+  std::string fault_log_;                 // one line for each injected fault, with the time of day
   std::function<void()> done_;
 };
 
--- a/src/simulation/cloud.h
+++ b/src/simulation/cloud.h
@@ -49,6 +49,8 @@
 
   /// Fault: every request is answered 503.
   bool unavailable = false;
+  /// s until a deletion is answered, for machines in other processes, which need time to end; real time only.
+  double deletion_delay_s = 0;
   RateLimiter request_rate;
 
   int deletion_requests() const { return deletion_requests_; }
@@ -75,7 +77,7 @@
   ServiceReply remove(const codec::Json& body);
   ServiceReply list(const std::string& target);
   codec::Json listed(const Machine& machine, double as_of) const;
-  void answer(http::Server::ConnectionId id, const ServiceReply& reply);
+  void answer(http::Server::ConnectionId id, const ServiceReply& reply, double delay_s);
   int free_capacity(const std::string& type, const std::string& zone, bool spot) const;
   Machine& create(const std::string& type, const std::string& zone, bool spot);
   void boot(Machine& machine, double after_s);
