--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -44,6 +44,12 @@
     elif isinstance(v, int):
         if 0 <= v < 128:
             out.append(v)
+        elif 0 <= v < 1 << 8:
+            out += b"\xcc" + struct.pack(">B", v)
+        elif 0 <= v < 1 << 16:
+            out += b"\xcd" + struct.pack(">H", v)
+        elif 0 <= v < 1 << 32:
+            out += b"\xce" + struct.pack(">I", v)
         elif v >= 0:
             out += b"\xcf" + struct.pack(">Q", v)
         else:
