--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -770,6 +770,14 @@
         if self.hangs:
             task.timer = asyncio.get_running_loop().call_later(0.5, self.complete, task)
         elif task.phase == "running" and not self.ended:
+            ref = task.part.split("/")[0]
+            if self.world.jobs[ref]["shape"] == "group":
+                # A gang completes together; one that has lost a task does not complete.
+                parts = [f"{ref}/{i}" for i in range(self.world.jobs[ref]["parts"])]
+                members = self.world.gangs.get((ref, task.attempt), {})
+                if len(members) < len(parts) and not self.world.done_parts.issuperset(parts):
+                    return
+                self.world.done_parts.update(parts)
             self.world.done_parts.add(task.part)
             self.finish(task, "done")
 
