--- a/review/5/case.py
+++ b/review/5/case.py
@@ -35,13 +35,13 @@
     small = world.job(None, parts=2, shape="standing", vcpus=1.0, crew="balcao-filiais")
     if await world.submit(small) != 201 or not await world.wait_phase(small["ref"], ["running"], 20):
         raise NotRun("the small job does not run")
-    # Two jobs a step; each needs both of the step before. The first step runs longer than the script.
+    # Two jobs a step; each needs both of the step before. Each runs half as long again as its estimate says.
     before = []
     for step in range(STEPS):
         pair = []
         for second in (False, True):
             guess_s = 10.0 + 1e-7 * 2 ** step if trouble and second else 10.0
-            job = world.job(300.0, vcpus=1.0, rank="low", guessS=guess_s)
+            job = world.job(1.5 * guess_s, vcpus=1.0, rank="low", guessS=guess_s)
             if before:
                 job["awaits"] = before
             if await world.submit(job) != 201:
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -19,6 +19,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 now = time.monotonic
+JOBS = "/work"  # PROTOCOL, POST and GET
 BODY_LIMIT = 64 * 1024  # bytes in the JSON form, PROTOCOL
 
 
@@ -1018,14 +1019,14 @@
         return 0
 
     async def poll(self, ref, nodes=None):
-        node, status, answer = await self.ask("GET", f"/work/{ref}", None, nodes, 2.0)
+        node, status, answer = await self.ask("GET", f"{JOBS}/{ref}", None, nodes, 2.0)
         self.note(f"user: GET {ref} at {node}: {status} {answer}")
         return status, answer
 
     async def withdraw(self, ref, nodes=None, wait_s=60):
         until = now() + wait_s
         while now() < until:
-            node, status, answer = await self.ask("POST", f"/work/{ref}/withdraw", {}, nodes)
+            node, status, answer = await self.ask("POST", f"{JOBS}/{ref}/withdraw", {}, nodes)
             self.note(f"user: withdraw {ref} at {node}: {status} {answer}")
             if status == 200:
                 return answer
