--- a/src/scheduler/dependency_graph.cc
+++ b/src/scheduler/dependency_graph.cc
@@ -43,7 +43,7 @@
     return;
   }
   job.unmet_dependencies.insert(dependency);
-  dependents_[dependency].push_back(job.spec.id);
+  dependents_[dependency].insert(job.spec.id);
   const Job* other = state_.job(dependency);
   if (!other)
     unknown_outcomes_.insert(dependency);
@@ -63,7 +63,7 @@
 void DependencyGraph::remove_edge(const std::string& id, const std::string& dependency) {
   auto found = dependents_.find(dependency);
   if (found == dependents_.end()) return;
-  std::erase(found->second, id);
+  found->second.erase(id);
   if (!found->second.empty()) return;
   dependents_.erase(found);
   unknown_outcomes_.erase(dependency);
@@ -99,7 +99,8 @@
   }
   auto found = dependents_.find(id);
   if (found == dependents_.end()) return;
-  for (const std::string& dependent : std::vector<std::string>(found->second))
+  const auto dependents = found->second.by_position();  // a copy: each one met is removed
+  for (const auto& [position, dependent] : dependents)
     if (Job* job = state_.job(dependent)) mark_met(*job, id, ended_at);
 }
 
@@ -110,7 +111,7 @@
     auto found = dependents_.find(cancelled.back());
     cancelled.pop_back();
     if (found == dependents_.end()) continue;
-    for (const std::string& dependent : found->second) {
+    for (const auto& [position, dependent] : found->second.by_position()) {
       Job* job = state_.job(dependent);
       if (!job || job->dependency_cancelled) continue;
       cancelled.push_back(dependent);
@@ -135,11 +136,12 @@
 
 // ---------------------------------------------------------------- inheritance
 
-DependencyGraph::Urgency DependencyGraph::urgency_of(const Job& job) const {
+DependencyGraph::Urgency DependencyGraph::urgency_of(const Job& job) {
   Urgency urgency{job.spec.priority, job.spec.deadline_s ? job.accepted_at + *job.spec.deadline_s : kNever};
   auto found = dependents_.find(job.spec.id);
   if (found == dependents_.end()) return urgency;
-  for (const std::string& id : found->second) {
+  edges_examined_ += found->second.size();
+  for (const auto& [position, id] : found->second.by_position()) {
     const Job* dependent = state_.job(id);
     if (!dependent || dependent->cancelled || dependent->dependency_cancelled) continue;
     urgency.priority = std::max(urgency.priority, dependent->priority);
@@ -149,23 +151,64 @@
   return urgency;
 }
 
-// A job inherits the highest priority and the tightest deadline of its direct and indirect dependents.
+bool DependencyGraph::inherit_urgency(Job& job) {
+  const Urgency urgency = urgency_of(job);
+  if (urgency.priority == job.priority && urgency.due_at == job.due_at) return false;
+  state_.set_priority(job, urgency.priority);
+  job.due_at = urgency.due_at;
+  state_.reindex(job);
+  return true;
+}
+
+bool DependencyGraph::defer_to_refresh() {
+  if (urgency_stale_) return true;
+  if (edges_examined_ - edges_examined_at_refresh_ < c::kUrgencyEdgesExamined) return false;
+  urgency_stale_ = true;
+  state_.request_cycle();
+  return true;
+}
+
+// A job inherits the highest priority and the tightest deadline of its direct and indirect dependents. A job
+// may be visited once for each path by which a tighter deadline reaches it, and their number can double with
+// each step of a pipeline: so the number of edges examined is bounded.
 void DependencyGraph::propagate_urgency(Job& first) {
   std::vector<Job*> pending{&first};
   bool is_first = true;
-  while (!pending.empty()) {
+  while (!pending.empty() && !defer_to_refresh()) {
     Job& job = *pending.back();
     pending.pop_back();
-    const Urgency urgency = urgency_of(job);
-    const bool changed = urgency.priority != job.priority || urgency.due_at != job.due_at;
-    if (!changed && !is_first) continue;
+    if (!inherit_urgency(job) && !is_first) continue;
     is_first = false;
-    state_.set_priority(job, urgency.priority);
-    job.due_at = urgency.due_at;
-    state_.reindex(job);
+    edges_examined_ += job.unmet_dependencies.size();
     for (const std::string& id : job.unmet_dependencies)
       if (Job* dependency = state_.job(id)) pending.push_back(dependency);
   }
 }
 
+void DependencyGraph::refresh_urgency() {
+  if (std::exchange(urgency_stale_, false)) refresh_all();
+  edges_examined_at_refresh_ = edges_examined_;
+}
+
+// Visits each job once, after all of its dependents (Kahn's algorithm). Jobs that depend on each other in a
+// circle, which no controller accepts, keep their urgency.
+void DependencyGraph::refresh_all() {
+  std::unordered_map<const Job*, std::size_t> dependents_left;
+  for (const auto& [id, job] : state_.jobs())
+    for (const std::string& dependency : job.unmet_dependencies)
+      if (const Job* known = state_.job(dependency)) ++dependents_left[known];
+  std::vector<Job*> pending;
+  for (auto& [id, job] : state_.jobs())
+    if (!dependents_left.contains(&job)) pending.push_back(&job);
+  while (!pending.empty()) {
+    Job& job = *pending.back();
+    pending.pop_back();
+    inherit_urgency(job);
+    edges_examined_ += job.unmet_dependencies.size();
+    for (const std::string& id : job.unmet_dependencies)
+      if (Job* dependency = state_.job(id); dependency && --dependents_left.at(dependency) == 0)
+        pending.push_back(dependency);
+  }
+}
+
 }  // namespace corkmux
--- a/src/scheduler/dependency_graph.h
+++ b/src/scheduler/dependency_graph.h
@@ -5,6 +5,7 @@
 // jobs whose outcome has to be read from the state store. Uses the cluster state, and TaskLifecycle for the
 // order in which jobs end. It never stops a task: a job with unmet dependencies has none yet.
 #pragma once
+#include <cstdint>
 #include <deque>
 #include <set>
 #include <string>
@@ -12,9 +13,18 @@
 #include <vector>
 
 #include "cluster_state.h"
+#include "insertion_ordered_set.h"
 #include "task_lifecycle.h"
 
 namespace corkmux {
+namespace constants {
+
+/// Edges examined between two refreshes to pass on the urgency of single jobs; beyond it the next refresh
+/// does so for all jobs at once.
+inline constexpr std::uint64_t kUrgencyEdgesExamined = 10000;
+
+}  // namespace constants
+
 /// How a job ended, as stored in the state store.
 enum class JobOutcome { Done, Cancelled };
 
@@ -39,6 +49,11 @@
   bool any() const { return !dependents_.empty(); }
   /// Jobs that depend on a cancelled job and whose end is not stored yet.
   std::vector<std::string> dependents_of_cancelled() const;
+  /// Brings the inherited urgency of all jobs up to date; called before each scheduling cycle. Adding and
+  /// removing jobs keeps it up to date only for graphs that need few steps.
+  void refresh_urgency();
+  /// Edges examined so far to pass on urgency: a measure of work that does not depend on the machine's speed.
+  std::uint64_t edges_examined() const { return edges_examined_; }
 
  private:
   struct StoredOutcome {
@@ -55,11 +70,20 @@
     Priority priority;
     double due_at;
   };
-  Urgency urgency_of(const Job& job) const;
+  Urgency urgency_of(const Job& job);
+  /// Returns whether the job's urgency has changed.
+  bool inherit_urgency(Job& job);
+  /// Whether kUrgencyEdgesExamined is used up; if so the next refresh passes on the urgency of all jobs.
+  bool defer_to_refresh();
+  void refresh_all();
 
+  using Dependents = InsertionOrderedSet<std::string>;
   ClusterState& state_;
   TaskLifecycle& lifecycle_;
-  std::unordered_map<std::string, std::vector<std::string>> dependents_;  // dependency -> unfinished jobs
+  std::unordered_map<std::string, Dependents> dependents_;  // dependency -> unfinished jobs
+  bool urgency_stale_ = false;  // some job's urgency is not up to date until the next refresh
+  std::uint64_t edges_examined_ = 0;
+  std::uint64_t edges_examined_at_refresh_ = 0;
   std::set<std::string> unknown_outcomes_;
   std::unordered_map<std::string, StoredOutcome> outcomes_;
   std::deque<std::string> outcome_order_;
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -63,6 +63,7 @@
     // A task is assigned only after all dependencies of its job are done, so a task record proves them met.
     if (!job.task_records.empty()) dependencies_.assume_met(job);
   }
+  dependencies_.refresh_urgency();
 }
 
 }  // namespace corkmux
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -158,7 +158,10 @@
   /// The process was stalled until now and received no heartbeats, so machines do not count as silent.
   void process_stalled(double now) { machines_.process_stalled(now); }
   /// Runs one scheduling cycle.
-  void schedule(double now) { cycle_.run(now); }
+  void schedule(double now) {
+    dependencies_.refresh_urgency();
+    cycle_.run(now);
+  }
   bool cycle_requested() const { return state_.cycle_requested(); }
 
   // --- task records in the state store ---
