--- a/src/scheduler/cluster_state.cc
+++ b/src/scheduler/cluster_state.cc
@@ -49,6 +49,7 @@
   job.revision = revision;
   if (added) {
     job.spec = spec;
+    job.need_to_start = spec.resources_to_start();
     job.priority = spec.priority;
     job.order = revision;
     job.accepted_at = accepted_at;
@@ -190,6 +191,7 @@
   machine.free -= job.spec.need;
   count_task(machine, job, task, 1);
   job.active[index] = std::move(task);
+  job.aborted = false;
   job.phase[static_cast<std::size_t>(index)] = TaskPhase::Active;
   --job.queued;
   team_use_[job.spec.team] += job.spec.need;
@@ -207,7 +209,7 @@
       at->idle_since = now;
       at->free = at->size;
     }
-    std::erase(at->commands.outbox, TaskId{job.spec.id, index});
+    at->commands.outbox.erase({job.spec.id, index});
     count_task(*at, job, task, -1);
     reindex(*at, now);
   }
--- a/src/scheduler/command_queue.cc
+++ b/src/scheduler/command_queue.cc
@@ -57,7 +57,7 @@
 }
 
 void CommandQueue::take_launches(Machine& machine, CommandBatch& out, double now) {
-  for (const TaskId& id : std::exchange(machine.commands.outbox, {})) {
+  for (const TaskId& id : machine.commands.outbox.take()) {
     Job* job = state_.job(id.job);
     ActiveTask* task = job ? job->find_active(id.index) : nullptr;
     if (!task) continue;
@@ -80,7 +80,7 @@
   if (machine.takes_commands_directly() || machine.commands.dispatch_in_flight ||
       !state_.usable(machine, now))
     return out;
-  for (const TaskId& id : std::exchange(machine.commands.outbox, {})) {
+  for (const TaskId& id : machine.commands.outbox.take()) {
     Job* job = state_.job(id.job);
     ActiveTask* task = job ? job->find_active(id.index) : nullptr;
     if (!task) continue;
--- a/src/scheduler/job.h
+++ b/src/scheduler/job.h
@@ -28,6 +28,7 @@
   enum class GuaranteeAdmission { Undecided, Granted, None };
 
   JobSpec spec;
+  Resources need_to_start;     // spec.resources_to_start(), which takes a step for each task of a gang
   std::uint64_t revision = 0;  // of its record in the state store
   std::uint64_t order = 0;     // acceptance order
   double accepted_at = 0;
@@ -43,6 +44,7 @@
   bool cancel_overdue_logged = false;  // a task of it was reported cancel_s after the cancel
   bool finalizing = false;             // the write of its end is in flight
   bool draining = false;               // a gang whose members are being stopped with time to save
+  bool aborted = false;                // a gang all of whose members have been told to stop, or have saved
 
   // Dependencies.
   bool dependency_cancelled = false;  // a dependency was cancelled; this job's own end is still to be stored
--- a/src/scheduler/machine.h
+++ b/src/scheduler/machine.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "capacity_index.h"
+#include "insertion_ordered_set.h"
 #include "model.h"
 #include "task.h"
 #include "time_constants.h"
@@ -65,7 +66,7 @@
   double next_probe_at = kLongAgo;  // when sending to the worker is retried
   bool dispatch_in_flight = false;
   bool needs_dispatch = false;  // a stop has to be sent before the next heartbeat
-  std::vector<TaskId> outbox;   // launches whose assignment is stored
+  InsertionOrderedSet<TaskId> outbox;  // launches whose assignment is stored
 };
 
 /// A more urgent job for which tasks on the machine are preempted. Written by Preemption.
--- a/src/scheduler/machine_reservations.cc
+++ b/src/scheduler/machine_reservations.cc
@@ -28,7 +28,7 @@
     const JobSpec& spec = job->spec;
     // A job held back by its own team's limit does not wait for other jobs' capacity, and a job that fails by
     // itself is not starved by other jobs: neither counts towards a deficit.
-    if (state_.within_limit(spec.team, spec.resources_to_start()) && !job->fails_by_itself) {
+    if (state_.within_limit(spec.team, job->need_to_start) && !job->fails_by_itself) {
       double wait_s = work_ahead.cpus / all.cpus;
       if (spec.need.gpus > 0) wait_s = std::max(wait_s, work_ahead.gpus / all.gpus);
       const double waited_s = now - job->ready_at;
--- a/src/scheduler/placement.cc
+++ b/src/scheduler/placement.cc
@@ -128,7 +128,7 @@
 
 bool Placement::place_gang(Job& job, double now) {
   const JobSpec& spec = job.spec;
-  if (!state_.within_limit(spec.team, spec.resources_to_start())) {
+  if (!state_.within_limit(spec.team, job.need_to_start)) {
     job.why = "waiting: the team's limit leaves no room for the whole gang";
     return false;
   }
@@ -221,7 +221,8 @@
   const JobSpec& spec = job.spec;
   int placed = 0;
   std::map<std::string, int> tasks_in_zone;
-  for (const auto& [index, task] : job.active) ++tasks_in_zone[task.zone];
+  if (spec.spread)  // else nobody asks for it, and a job may have 100,000 tasks
+    for (const auto& [index, task] : job.active) ++tasks_in_zone[task.zone];
   // All tasks placed in this call share one attempt number: each task is placed at most once per call. A job
   // that waits takes no number, since waiting jobs are tried in every cycle.
   std::optional<std::uint64_t> attempt;
--- a/src/scheduler/preemption.cc
+++ b/src/scheduler/preemption.cc
@@ -30,7 +30,7 @@
 
 bool Preemption::Preemptor::over_limit_with(const Resources& use_of_team) const {
   Resources wanted = use_of_team;
-  wanted += job.spec.resources_to_start();
+  wanted += job.need_to_start;
   return !team.allows(wanted);
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -204,6 +204,8 @@
     return cycle_.items_examined() + claims_.items_examined() + preemption_.items_examined() +
            placement_.items_examined() + search_.items_examined() + job_index().items_examined();
   }
+  /// Members of gangs examined because another member ended, see TaskLifecycle.
+  std::uint64_t tasks_examined() const { return lifecycle_.tasks_examined(); }
   const JobIndex& job_index() const { return state_.job_index(); }
   const CapacityIndex& capacity_index() const { return state_.capacity_index(); }
   /// The machine's capacity as the index of free capacity has to hold it.
--- a/src/scheduler/scheduling_cycle.cc
+++ b/src/scheduler/scheduling_cycle.cc
@@ -95,7 +95,7 @@
 }
 
 void SchedulingCycle::note_waiting_at_limit(const Job& job, Progress& progress) const {
-  if (state_.within_limit(job.spec.team, job.spec.resources_to_start())) return;
+  if (state_.within_limit(job.spec.team, job.need_to_start)) return;
   auto [waiting, added] = progress.waiting_at_limit.try_emplace(job.spec.team, job.priority);
   if (!added) waiting->second = std::max(waiting->second, job.priority);
 }
--- a/src/scheduler/task_lifecycle.cc
+++ b/src/scheduler/task_lifecycle.cc
@@ -51,7 +51,10 @@
     job.cursor = std::min(job.cursor, index);
     records_.mark_dirty(job, index, Urgency::Deferrable, now);
   }
-  if (job.active.empty()) job.draining = false;
+  if (job.active.empty()) {
+    job.draining = false;
+    job.aborted = false;
+  }
   state_.mark_changed(job.spec.id);
   state_.request_cycle();
   state_.reindex(job);
@@ -59,6 +62,7 @@
 
 void TaskLifecycle::withdraw_unsent(Job& job, double now) {
   std::vector<int> unsent;
+  tasks_examined_ += job.active.size();
   for (const auto& [index, task] : job.active)
     if (task.stage == Stage::Assigned) unsent.push_back(index);
   for (int index : unsent) unassign(job, index, now);
@@ -69,10 +73,15 @@
   if (job.is_gang()) abort_gang(job, now);
 }
 
+// Each member that is lost aborts its gang, so a gang whose members were all told to stop is left alone: the
+// steps for losing all members would otherwise grow with the square of their number.
 void TaskLifecycle::abort_gang(Job& job, double now) {
+  if (job.aborted) return;
   withdraw_unsent(job, now);
+  tasks_examined_ += job.active.size();
   for (const auto& [index, task] : job.active)
     if (!(job.draining && task.stop)) state_.request_stop(job, index, 0);
+  job.aborted = !job.active.empty();
 }
 
 void TaskLifecycle::records_written(const std::vector<TaskRecordWrite>& batch, std::uint64_t revision,
@@ -102,10 +111,7 @@
       continue;
     }
     Machine& machine = *state_.machine(task.machine);
-    const TaskId id{write.job, index};
-    if (std::find(machine.commands.outbox.begin(), machine.commands.outbox.end(), id) ==
-        machine.commands.outbox.end())
-      machine.commands.outbox.push_back(id);
+    machine.commands.outbox.insert({write.job, index});
     state_.mark_for_dispatch(machine.name);
   }
   for (int index : withdrawn) unassign(job, index, now);
@@ -125,6 +131,12 @@
   records_.mark_dirty(job, index, Urgency::Deferrable, now);
 }
 
+void TaskLifecycle::finish_members(Job& job, bool active_too, double now) {
+  tasks_examined_ += static_cast<std::uint64_t>(job.spec.tasks);
+  for (int i = 0; i < job.spec.tasks; ++i)
+    if (active_too || job.phase[static_cast<std::size_t>(i)] == TaskPhase::Queued) finish(job, i, now);
+}
+
 void TaskLifecycle::task_done(Job& job, int index, double now) {
   if (job.spec.kind == JobKind::Service) {  // a replica that ended is restarted
     unassign(job, index, now);
@@ -136,8 +148,7 @@
   // unreachable. So each member counts as done, and its slot as free, only by its own heartbeat or by other
   // proof that it is gone.
   const bool complete_all = mutation_enabled("a gang that is done has left all machines");
-  for (int i = 0; job.gang_completed() && i < job.spec.tasks; ++i)
-    if (complete_all || job.phase[static_cast<std::size_t>(i)] == TaskPhase::Queued) finish(job, i, now);
+  if (job.gang_completed() && (job.queued > 0 || complete_all)) finish_members(job, complete_all, now);
   job.why.clear();
   if (job.over() && note_ending(job.spec.id))
     reserved_capacity_.served(job.spec.job_class, job.spec.team, now);
@@ -186,7 +197,6 @@
     const ActiveTask* task = job ? job->find_active(id.index) : nullptr;
     if (task && task->worker_epoch < before_epoch) mark_lost(id, why, now);
   }
-  std::erase_if(machine.commands.outbox, [&](const TaskId& id) { return !machine.tasks.contains(id); });
 }
 
 // ---------------------------------------------------------------- jobs
--- a/src/scheduler/task_lifecycle.h
+++ b/src/scheduler/task_lifecycle.h
@@ -69,7 +69,13 @@
 
   static constexpr std::uint64_t kAllEpochs = ~std::uint64_t{0};
 
+  /// Members of gangs examined so far because another member ended: a measure of work that does not depend on
+  /// the speed of the machine.
+  std::uint64_t tasks_examined() const { return tasks_examined_; }
+
  private:
+  /// Marks the queued members of a gang as done, and with `active_too` all others.
+  void finish_members(Job& job, bool active_too, double now);
   void task_done(Job& job, int index, double now);
   void finish(Job& job, int index, double now);
   void withdraw_unsent(Job& job, double now);
@@ -86,6 +92,7 @@
   ReservedCapacity& reserved_capacity_;
   std::map<std::string, std::uint64_t> ending_;
   std::uint64_t ending_count_ = 0;
+  std::uint64_t tasks_examined_ = 0;
 };
 
 }  // namespace corkmux
--- /dev/null
+++ b/tests/job_limits_test.cc
@@ -0,0 +1,112 @@
+// Jobs at the limits of the protocol: 100,000 tasks, messages of 64 KiB. The tests count steps and bytes, never
+// time, so the result is the same on every computer.
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "heartbeat_reconciler.h"
+#include "scheduler_modules.h"
+#include "wire_constants.h"
+
+namespace corkmux {
+namespace {
+
+namespace c = constants;
+
+constexpr int kTasks = c::kMaxTasks;
+/// Of a task of which a machine of plain_type() holds all.
+constexpr double kTinyCpus = 1e-5;
+
+JobSpec gang_spec(int tasks, double cpus) {
+  JobSpec spec = array_spec("run-gang", "x", tasks, cpus);
+  spec.kind = JobKind::Gang;
+  spec.need.memory_gb = cpus;
+  return spec;
+}
+
+struct JobLimits : ::testing::Test {
+  SchedulerModules modules;
+
+  /// Assigns all tasks to the machine, as former versions did, and sets them to running.
+  Job& run_all(const JobSpec& spec, Machine& machine) {
+    Job& job = modules.add_job(spec);
+    for (int i = 0; i < spec.tasks; ++i) modules.lifecycle.assign(job, i, machine, 7, 0);
+    for (auto& [index, task] : job.active) task.stage = ActiveTask::Stage::Running;
+    return job;
+  }
+};
+
+// Guards against a gang that stops all controllers: each member that is lost aborted the whole gang once more,
+// so that the steps grew with the square of its tasks.
+TEST_F(JobLimits, LosingAllMembersOfAGangTakesStepsThatGrowWithTheirNumber) {
+  Machine& machine = modules.add_up_machine("n-1");
+  Job& job = run_all(gang_spec(kTasks, kTinyCpus), machine);
+  modules.lifecycle.mark_all_lost(machine, "lost its lease", 1);
+  EXPECT_TRUE(job.active.empty());
+  EXPECT_EQ(job.queued, kTasks);
+  EXPECT_LE(modules.lifecycle.tasks_examined(), 4u * kTasks);
+}
+
+// The same where members end one by one: the first end stops the others.
+TEST_F(JobLimits, TheEndsOfAGangsMembersTakeStepsThatGrowWithTheirNumber) {
+  Machine& machine = modules.add_up_machine("n-1");
+  Job& job = run_all(gang_spec(kTasks, kTinyCpus), machine);
+  TaskStatus status{"run-gang", 0, 7, TaskState::Exited, ExitReason::PeersGone, false};
+  for (; status.index < kTasks; ++status.index) modules.lifecycle.task_exited(job, status, machine, 1);
+  EXPECT_TRUE(job.active.empty());
+  EXPECT_LE(modules.lifecycle.tasks_examined(), 4u * kTasks);
+}
+
+TEST_F(JobLimits, TheCompletionOfAGangTakesStepsThatGrowWithItsTasks) {
+  Machine& machine = modules.add_up_machine("n-1");
+  Job& job = run_all(gang_spec(kTasks, kTinyCpus), machine);
+  TaskStatus status{"run-gang", 0, 7, TaskState::Exited, ExitReason::Done, false};
+  for (; status.index < kTasks; ++status.index) modules.lifecycle.task_exited(job, status, machine, 1);
+  EXPECT_EQ(job.done, kTasks);
+  EXPECT_LE(modules.lifecycle.tasks_examined(), 4u * kTasks);
+}
+
+// After a gang was aborted, a member that is placed later is stopped by the next abort.
+TEST_F(JobLimits, AnAbortedGangThatIsPlacedAgainIsAbortedAgain) {
+  Machine& machine = modules.add_up_machine("n-1");
+  Job& job = run_all(gang_spec(2, 1), machine);
+  modules.lifecycle.withdraw(job, 0, 1);
+  EXPECT_TRUE(job.active.at(1).stop);
+  modules.lifecycle.withdraw(job, 1, 2);
+  modules.lifecycle.assign(job, 0, machine, 8, 3);
+  modules.lifecycle.assign(job, 1, machine, 8, 3);
+  job.active.at(1).stage = ActiveTask::Stage::Running;
+  modules.lifecycle.withdraw(job, 0, 4);
+  EXPECT_TRUE(job.active.at(1).stop);
+}
+
+/// What a leader has stored of a job, to be loaded by the next leader.
+struct StoredRecords {
+  JobSpec spec;
+  std::vector<TaskRecordWrite> writes;
+  void load(Scheduler& scheduler) const {
+    scheduler.upsert_job(spec, 1, false, 0);
+    std::uint64_t revision = 1;
+    for (const TaskRecordWrite& write : writes) scheduler.load_record(write.key, write.value, ++revision);
+    scheduler.records_loaded();
+  }
+};
+
+// Guards against successors that stop one after the other: the records name the gang's tasks on a machine whose
+// first heartbeat shows none of them.
+TEST_F(JobLimits, AFirstHeartbeatWithoutTheGangCostsANewLeaderStepsThatGrowWithItsTasks) {
+  Machine& machine = modules.add_up_machine("n-1");
+  modules.records.use_format(RecordFormat::V2);
+  const Job& job = run_all(gang_spec(kTasks, kTinyCpus), machine);
+  const StoredRecords stored{job.spec, modules.records.next_writes(kTasks, true, 0)};
+  Scheduler next(SchedulerModules::config(), 2, 0, 1);
+  next.set_catalog({plain_type({"a"})});
+  stored.load(next);
+  ASSERT_EQ(next.job("run-gang")->active.size(), static_cast<std::size_t>(kTasks));
+  join(next, first_heartbeat("n-1"));
+  EXPECT_TRUE(next.job("run-gang")->active.empty());
+  EXPECT_LE(next.tasks_examined(), 4u * kTasks);
+}
+
+}  // namespace
+}  // namespace corkmux
--- a/tests/scheduler_modules.h
+++ b/tests/scheduler_modules.h
@@ -58,7 +58,7 @@
   /// Assigns the task and sets it to running.
   ActiveTask& run(Job& job, int index, Machine& machine, double now = 0) {
     ActiveTask& task = launch(job, index, machine, now);
-    machine.commands.outbox.clear();
+    machine.commands.outbox.take();
     task.stage = ActiveTask::Stage::Running;
     task.minimum_token = 0;
     return task;
