--- a/src/scheduler/candidate_search.cc
+++ b/src/scheduler/candidate_search.cc
@@ -114,14 +114,13 @@
                                   const PositionsByBucket& excluded, std::vector<CandidateGroup>& groups) {
   const Resources& need = query.job.spec.need;
   const double most_free_gpus = pool.size.gpus > 0 ? query.most_free_gpus : kNoLimit;
-  const int enough = query.job.is_gang() ? query.job.spec.tasks : 1;
   int examined = 0;
   int slots = 0;
   for (auto it = buckets.begin(); it != buckets.end();) {
     ++items_examined_;
     const auto& [free_capacity, bucket] = *it;
     if (need.gpus > bucket.free.gpus + kRounding) return;
-    if (examined >= c::kBucketsExamined && slots >= enough) return;
+    if (examined >= c::kBucketsExamined && slots >= query.tasks) return;
     if (need.cpus > bucket.free.cpus + kRounding) {
       // The following buckets have no more CPUs: skips to those with fewer accelerators.
       it = buckets.upper_bound({free_capacity[0], std::numeric_limits<long long>::min(), 0});
@@ -200,10 +199,25 @@
   }
 }
 
-std::vector<CandidateGroup> CandidateSearch::find(const Job& job, Suspects suspects, double now,
-                                                  const std::string* only_zone) {
-  if (job.spec.one_zone && !job.active.empty()) only_zone = &job.active.begin()->second.zone;
-  const Query query{job, only_zone, most_free_gpus(job), reservations_.is_starving(job), now};
+/// The zone that the job's running tasks bind it to; null if it may use any.
+const std::string* CandidateSearch::zone_bound_to(const Job& job) {
+  return job.spec.one_zone && !job.active.empty() ? &job.active.begin()->second.zone : nullptr;
+}
+
+std::vector<CandidateGroup> CandidateSearch::find(const Job& job, Suspects suspects, double now) {
+  const int tasks = job.is_gang() ? job.spec.tasks : 1;
+  return find({job, zone_bound_to(job), tasks, most_free_gpus(job), reservations_.is_starving(job), now},
+              suspects);
+}
+
+std::vector<CandidateGroup> CandidateSearch::find_in_zone(const Job& job, Suspects suspects, double now,
+                                                          const std::string& zone, int tasks) {
+  if (const std::string* bound = zone_bound_to(job); bound && *bound != zone) return {};
+  return find({job, &zone, tasks, most_free_gpus(job), reservations_.is_starving(job), now}, suspects);
+}
+
+std::vector<CandidateGroup> CandidateSearch::find(const Query& query, Suspects suspects) {
+  const Job& job = query.job;
   Found found;
   const PositionsByBucket failed = add_failed_machines(query, found);
   for (const auto& [key, pool] : state_.capacity_index().pools()) {
--- a/src/scheduler/candidate_search.h
+++ b/src/scheduler/candidate_search.h
@@ -65,9 +65,11 @@
 
   /// Returns the machines that the job's next task fits on, from the best class that has any: reserved for
   /// it, ordinary, with accelerators that it does not need, suspect. A gang gets all classes, suspects only
-  /// if included. `only_zone`: the only zone to search, or null for all zones.
-  std::vector<CandidateGroup> find(const Job& job, Suspects suspects, double now,
-                                   const std::string* only_zone = nullptr);
+  /// if included.
+  std::vector<CandidateGroup> find(const Job& job, Suspects suspects, double now);
+  /// The same in one zone only, for the next `tasks` tasks of a gang.
+  std::vector<CandidateGroup> find_in_zone(const Job& job, Suspects suspects, double now,
+                                           const std::string& zone, int tasks);
   /// Whether the job's tasks may run on machines of the pool.
   bool may_use_pool(const Job& job, const CapacityIndex::Pool& pool) const;
   /// Whether the job's tasks may run on the machine once it has enough free capacity.
@@ -95,6 +97,7 @@
   struct Query {
     const Job& job;
     const std::string* only_zone;  // null: all zones
+    int tasks;                     // that are placed at once
     double most_free_gpus;         // machines with more are left to work that needs accelerators
     bool starving;                 // machines are reserved for the job
     double now;
@@ -107,6 +110,8 @@
   };
   using PositionsByBucket = std::map<const CapacityIndex::CapacityBucket*, std::vector<std::size_t>>;
 
+  static const std::string* zone_bound_to(const Job& job);
+  std::vector<CandidateGroup> find(const Query& query, Suspects suspects);
   RequestShape shape_of(const Job& job) const;
   /// Whether the job's candidates differ from those of other jobs of its shape: machines may be nominated for
   /// it, or its running tasks bind it to a zone.
--- a/src/scheduler/placement.cc
+++ b/src/scheduler/placement.cc
@@ -154,16 +154,19 @@
   const JobSpec& spec = job.spec;
   const std::optional<std::uint64_t> attempt = state_.sequence().next();
   if (!attempt) return set_gang_waiting_reason(job);
+  const int tasks_per_pick = (spec.tasks + c::kPicksPerGang - 1) / c::kPicksPerGang;
   double slowest_fetch_s = 0;
   int assigned = 0;
   for (const auto& zone : zones)
-    for (int in_zone = 0; in_zone < most_in_zone(spec) && assigned < spec.tasks; ++in_zone) {
-      const auto groups = search_.find(job, suspects, now, &zone);
+    for (int in_zone = 0; in_zone < most_in_zone(spec) && assigned < spec.tasks;) {
+      const int wanted = std::min({tasks_per_pick, most_in_zone(spec) - in_zone, spec.tasks - assigned});
+      const auto groups = search_.find_in_zone(job, suspects, now, zone, wanted);
       const Choice choice = pick_machine(spec, groups, now);
       if (!choice.machine) break;
       slowest_fetch_s = std::max(slowest_fetch_s, choice.fetch_s);
-      lifecycle_.assign(job, assigned, *choice.machine, *attempt, now);
-      ++assigned;
+      const int members = std::clamp(spec.need.times_in(choice.machine->free), 1, wanted);
+      for (int i = 0; i < members; ++i) lifecycle_.assign(job, assigned++, *choice.machine, *attempt, now);
+      in_zone += members;
     }
   if (assigned < spec.tasks) {
     lifecycle_.abort_gang(job, now);
--- a/src/scheduler/placement.h
+++ b/src/scheduler/placement.h
@@ -27,6 +27,7 @@
 inline constexpr double kHeatWeight = 0.5;           // weight of heat against slack
 inline constexpr double kFetchWeight = 0.5;          // utility lost per second of image fetch
 inline constexpr int kSampleSize = 12;               // machines examined per pick
+inline constexpr int kPicksPerGang = 1024;           // a larger gang's picks place several tasks each
 inline constexpr double kScoreNoise = 0.05;  // standard deviation of the noise on a pick, in units of utility
 inline constexpr double kAcceleratorPenalty = 0.3;  // utility that an unneeded accelerator costs
 inline constexpr double kMaxZoneHold = 5.0;  // s; longest expected time for which a zone is held for a gang
--- a/tests/job_limits_test.cc
+++ b/tests/job_limits_test.cc
@@ -108,5 +108,21 @@
   EXPECT_LE(next.tasks_examined(), 4u * kTasks);
 }
 
+// Guards against a search through all buckets of free capacity for each member: every placement gives a machine a
+// free capacity of its own, so the steps grew with tasks times machines.
+TEST(JobLimitsInPlacement, PlacingAGangTakesStepsThatGrowWithItsTasks) {
+  constexpr int kMachines = 600;
+  Scheduler scheduler(SchedulerModules::config(), 1, 0, 1);
+  scheduler.set_catalog({plain_type({"a"})});
+  for (int i = 0; i < kMachines; ++i) join(scheduler, first_heartbeat("n-" + std::to_string(i)));
+  scheduler.upsert_job(gang_spec(kTasks, 0.05), 1, false, 0);
+  const std::uint64_t before = scheduler.items_examined();
+  scheduler.schedule(1);
+  EXPECT_EQ(scheduler.job("run-gang")->active.size(), static_cast<std::size_t>(kTasks));
+  EXPECT_LE(scheduler.items_examined() - before, 4u * kTasks);
+  // Each machine is given no more than it holds.
+  for (const auto& [name, machine] : scheduler.machines()) EXPECT_GE(machine.free.cpus, -1e-6) << name;
+}
+
 }  // namespace
 }  // namespace corkmux
