--- a/src/scheduler/candidate_search.cc
+++ b/src/scheduler/candidate_search.cc
@@ -123,7 +123,7 @@
     if (examined >= c::kBucketsExamined && slots >= query.tasks) return;
     if (need.cpus > bucket.free.cpus + kRounding) {
       // The following buckets have no more CPUs: skips to those with fewer accelerators.
-      it = buckets.upper_bound({free_capacity[0], std::numeric_limits<long long>::min(), 0});
+      it = buckets.upper_bound({free_capacity[0], std::numeric_limits<long long>::min(), 0, 0});
       continue;
     }
     ++it;
@@ -132,7 +132,7 @@
     group.pool = &pool;
     group.bucket = &bucket;
     group.machine_count = bucket.machines.size();
-    group.tasks_per_machine = need.times_in(bucket.free);
+    group.tasks_per_machine = tasks_fitting(need, bucket.free, bucket.task_slots);
     if (auto positions = excluded.find(&bucket); positions != excluded.end()) {
       group.excluded = positions->second;
       std::sort(group.excluded.begin(), group.excluded.end());
@@ -169,7 +169,7 @@
   group.pool = pool;
   group.single = &machine;
   group.machine_count = 1;
-  group.tasks_per_machine = spec.need.times_in(machine.free);
+  group.tasks_per_machine = tasks_fitting(spec.need, machine.free, machine.task_slots());
   groups.push_back(std::move(group));
 }
 
--- a/src/scheduler/capacity_index.cc
+++ b/src/scheduler/capacity_index.cc
@@ -11,10 +11,22 @@
 
 using Use = MachineCapacity::Use;
 
-CapacityIndex::FreeCapacity free_capacity_of(const Resources& free) {
+CapacityIndex::FreeCapacity free_capacity_of(const Resources& free, int task_slots) {
   constexpr double kUnitsPerOne = 1e6;
   return {std::llround(free.gpus * kUnitsPerOne), std::llround(free.cpus * kUnitsPerOne),
-          std::llround(free.memory_gb * kUnitsPerOne)};
+          std::llround(free.memory_gb * kUnitsPerOne), task_slots};
+}
+
+int counted_task_slots(const Machine& machine) {
+  return std::min(machine.task_slots(), constants::kTaskSlotsCounted);
+}
+
+CapacityIndex::FreeCapacity free_capacity_of(const Machine& machine) {
+  return free_capacity_of(machine.free, counted_task_slots(machine));
+}
+
+CapacityIndex::FreeCapacity free_capacity_of(const CapacityIndex::CapacityBucket& bucket) {
+  return free_capacity_of(bucket.free, bucket.task_slots);
 }
 
 /// A value at zero or below does not fall any further.
@@ -63,7 +75,7 @@
   last->index_entry.position = entry.position;
   bucket.machines.pop_back();
   // Erasing an empty bucket also discards the rounding errors that its sums have accumulated.
-  if (bucket.machines.empty()) entry.buckets->erase(free_capacity_of(bucket.free));
+  if (bucket.machines.empty()) entry.buckets->erase(free_capacity_of(bucket));
   entry.buckets = nullptr;
   entry.bucket = nullptr;
 }
@@ -110,8 +122,11 @@
 }
 
 void CapacityIndex::enter_bucket(Machine& machine, CapacityBuckets& buckets) {
-  CapacityBucket& bucket = buckets[free_capacity_of(machine.free)];
-  if (bucket.machines.empty()) bucket.free = machine.free;
+  CapacityBucket& bucket = buckets[free_capacity_of(machine)];
+  if (bucket.machines.empty()) {
+    bucket.free = machine.free;
+    bucket.task_slots = counted_task_slots(machine);
+  }
   IndexEntry& entry = machine.index_entry;
   entry.buckets = &buckets;
   entry.bucket = &bucket;
@@ -138,8 +153,7 @@
     remove_from_bucket(machine);
     return;
   }
-  const bool stays =
-      buckets == entry.buckets && free_capacity_of(entry.bucket->free) == free_capacity_of(machine.free);
+  const bool stays = buckets == entry.buckets && free_capacity_of(*entry.bucket) == free_capacity_of(machine);
   if (stays) {
     entry.bucket->slack.subtract(entry.slack);
     entry.bucket->heat.subtract(entry.heat);
--- a/src/scheduler/capacity_index.h
+++ b/src/scheduler/capacity_index.h
@@ -54,15 +54,16 @@
     void subtract(const Drift& other);
   };
   struct CapacityBucket {
-    Resources free;  // of each of its machines
+    Resources free;      // of each of its machines
+    int task_slots = 0;  // of each of its machines, at most kTaskSlotsCounted
     std::vector<Machine*> machines;
     Drift slack;                                  // sum over the machines
     Drift heat;                                   // sum over the machines
     std::unordered_map<std::string, int> images;  // image -> how many of the machines hold it
   };
-  /// Accelerators, CPUs and memory in units of 1e-6, finer than the tolerance of Resources::fits(). Sorted by
-  /// most accelerators, then most CPUs.
-  using FreeCapacity = std::array<long long, 3>;
+  /// Accelerators, CPUs and memory in units of 1e-6, finer than the tolerance of Resources::fits(), and task
+  /// slots. Sorted by most accelerators, then most CPUs.
+  using FreeCapacity = std::array<long long, 4>;
   using CapacityBuckets = std::map<FreeCapacity, CapacityBucket, std::greater<>>;
   struct Pool {
     std::string type;
--- a/src/scheduler/cluster_state.cc
+++ b/src/scheduler/cluster_state.cc
@@ -123,7 +123,7 @@
 MachineCapacity ClusterState::machine_capacity(const Machine& machine, double now) const {
   using Use = MachineCapacity::Use;
   const double silent_at = machine.worker.last_heartbeat_at + c::kSilentAfterHeartbeats * config_.report_s;
-  if (!accepts_tasks(machine) || now >= silent_at) return {};
+  if (!accepts_tasks(machine) || now >= silent_at || machine.task_slots() == 0) return {};
   auto until = [&](Use use, double at) { return MachineCapacity{use, "", std::min(at, silent_at)}; };
   if (now < machine.no_capacity_until) return until(Use::Out, machine.no_capacity_until);
   if (now < machine.nomination.until) {
--- a/src/scheduler/guarantee_claims.cc
+++ b/src/scheduler/guarantee_claims.cc
@@ -95,10 +95,13 @@
     candidate.zone =
         zone_numbers_.try_emplace(machine.zone, static_cast<int>(zone_numbers_.size())).first->second;
     candidate.usable = usable(machine);
+    candidate.task_slots = machine.task_slots();
     for (const TaskId& id : machine.tasks) {
       ++items_examined_;
       const Job& other = *state_.job(id.job);
-      if (other.active.at(id.index).stop) candidate.free += other.spec.need;
+      if (!other.active.at(id.index).stop) continue;
+      candidate.free += other.spec.need;
+      ++candidate.task_slots;
     }
     case_.input.machines.push_back(candidate);
     case_.machines.push_back(&machine);
@@ -171,7 +174,7 @@
                                         const Resources& need, int left) {
   std::map<int, int> slots_in_zone;
   for (const auto& machine : machines)
-    if (machine.usable) slots_in_zone[machine.zone] += need.times_in(machine.free);
+    if (machine.usable) slots_in_zone[machine.zone] += tasks_fitting(need, machine.free, machine.task_slots);
   std::optional<int> best;
   for (const auto& [zone, count] : slots_in_zone)
     if (count >= left && (!best || count > slots_in_zone[*best])) best = zone;
@@ -220,7 +223,10 @@
   double longest_save_s = 0;
   for (int position : chosen) {
     const auto& unit = claim.input.units[index_of(position)];
-    for (int machine : unit.members) machines[index_of(machine)].free += unit.need;
+    for (int machine : unit.members) {
+      machines[index_of(machine)].free += unit.need;
+      ++machines[index_of(machine)].task_slots;
+    }
     longest_save_s = std::max(longest_save_s, state_.job(claim.tasks[index_of(position)].job)->spec.save_s);
   }
   int left = spec.tasks - job.done - static_cast<int>(job.active.size());
@@ -229,7 +235,7 @@
   const double until = now + longest_save_s + state_.config().gang_peer_s + c::kCancelReserve;
   for (std::size_t i = 0; i < machines.size() && left > 0; ++i) {
     if (!machines[i].usable || (zone && machines[i].zone != *zone)) continue;
-    const int tasks = spec.need.times_in(machines[i].free);
+    const int tasks = tasks_fitting(spec.need, machines[i].free, machines[i].task_slots);
     if (tasks == 0) continue;
     left -= tasks;
     preemption_.nominate(*claim.machines[i], job, until, now);
--- a/src/scheduler/heartbeat_reconciler.cc
+++ b/src/scheduler/heartbeat_reconciler.cc
@@ -58,6 +58,7 @@
   for (const TaskStatus& status : heartbeat.tasks) apply_status(pass, status);
   acknowledge_ended_tasks(pass);
   mark_absent_tasks_lost(pass);
+  count_other_tasks(pass);
   update_load(machine, now);
   attach_launches(pass);
   state_.reindex(machine, now);
@@ -223,6 +224,13 @@
   }
 }
 
+void HeartbeatReconciler::count_other_tasks(const Reconciliation& pass) {
+  const auto assigned = std::count_if(pass.present.begin(), pass.present.end(),
+                                      [&](const TaskId& id) { return pass.machine.tasks.contains(id); });
+  pass.machine.worker.other_tasks =
+      static_cast<int>(pass.heartbeat.tasks.size()) - static_cast<int>(assigned);
+}
+
 void HeartbeatReconciler::update_load(Machine& machine, double now) {
   machine.load.heat = 0;
   for (const auto& [id, index] : machine.tasks) {
--- a/src/scheduler/machine.cc
+++ b/src/scheduler/machine.cc
@@ -16,6 +16,15 @@
   return std::find(images.begin(), images.end(), image) != images.end();
 }
 
+int Machine::task_slots() const {
+  const int reported = static_cast<int>(tasks.size()) + worker.other_tasks;
+  return std::max(0, constants::kMaxTasksOnMachine - reported);
+}
+
+int tasks_fitting(const Resources& need, const Resources& free, int task_slots) {
+  return std::min(need.times_in(free), task_slots);
+}
+
 bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
   return spec.allows_type(type) && (!spec.zone || *spec.zone == zone) && (spec.spot || !spot);
 }
--- a/src/scheduler/machine.h
+++ b/src/scheduler/machine.h
@@ -19,6 +19,11 @@
 namespace constants {
 
 inline constexpr double kNominationTime = 8.0;  // s a machine stays nominated for a job
+/// Tasks that a worker can report: a heartbeat may have 64 KiB, of which a task takes 160 bytes at most.
+inline constexpr int kMaxTasksOnMachine = 384;
+/// Machines with more task slots than that count as equal, so that the first few tasks on a machine do not
+/// set it apart from others with the same free capacity.
+inline constexpr int kTaskSlotsCounted = 256;
 
 }  // namespace constants
 
@@ -52,6 +57,7 @@
   std::uint64_t fencing_token = 0;   // carried by the next commands; ClusterState raises it too
   std::uint64_t required_token = 0;  // to be reported before a task is placed there; written by ClusterState
   std::uint64_t last_launch_token = 0;  // of the last batch with launches; written by CommandQueue
+  int other_tasks = 0;                  // in the last heartbeat, not assigned: ended, or to be stopped
   double last_heartbeat_at = kLongAgo;
   double last_reply_at = kLongAgo;   // last reply of the leader; written by Scheduler::heartbeat_answered
   double last_launch_at = kLongAgo;  // written by CommandQueue
@@ -65,7 +71,7 @@
   CommandChannel channel = CommandChannel::Direct;
   double next_probe_at = kLongAgo;  // when sending to the worker is retried
   bool dispatch_in_flight = false;
-  bool needs_dispatch = false;  // a stop has to be sent before the next heartbeat
+  bool needs_dispatch = false;         // a stop has to be sent before the next heartbeat
   InsertionOrderedSet<TaskId> outbox;  // launches whose assignment is stored
 };
 
@@ -142,8 +148,12 @@
   double slack(const Resources& unused) const;
   double slack() const { return slack(free); }
   bool holds_image(const std::string& image) const;
+  /// How many more tasks the worker can report, see kMaxTasksOnMachine.
+  int task_slots() const;
 };
 
+/// How many tasks of this need a machine takes, by its free capacity and its task slots.
+int tasks_fitting(const Resources& need, const Resources& free, int task_slots);
 /// Whether a job may use machines of that type and zone, spot machines or not.
 bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot);
 bool allowed(const JobSpec& spec, const Machine& machine);
--- a/src/scheduler/placement.cc
+++ b/src/scheduler/placement.cc
@@ -164,7 +164,8 @@
       const Choice choice = pick_machine(spec, groups, now);
       if (!choice.machine) break;
       slowest_fetch_s = std::max(slowest_fetch_s, choice.fetch_s);
-      const int members = std::clamp(spec.need.times_in(choice.machine->free), 1, wanted);
+      const Machine& machine = *choice.machine;
+      const int members = std::clamp(tasks_fitting(spec.need, machine.free, machine.task_slots()), 1, wanted);
       for (int i = 0; i < members; ++i) lifecycle_.assign(job, assigned++, *choice.machine, *attempt, now);
       in_zone += members;
     }
--- a/src/scheduler/preemption.cc
+++ b/src/scheduler/preemption.cc
@@ -141,14 +141,17 @@
   ExaminedMachine examined;
   examined.machine = &machine;
   examined.free = machine.free;
+  examined.task_slots = machine.task_slots();
   for (const TaskId& id : machine.tasks) {
     ++items_examined_;
     const Job& other = *state_.job(id.job);
     const ActiveTask& task = other.active.at(id.index);
-    if (task.stop)
+    if (task.stop) {
       examined.free += other.spec.need;
-    else if (auto stoppable = candidate(preemptor, other, id.index, task))
+      ++examined.task_slots;
+    } else if (auto stoppable = candidate(preemptor, other, id.index, task)) {
       examined.candidates.push_back(std::move(*stoppable));
+    }
   }
   return examined;
 }
@@ -171,11 +174,13 @@
 std::optional<std::size_t> Preemption::stops_until_fit(const ExaminedMachine& machine,
                                                        const Resources& need) {
   Resources free = machine.free;
+  int task_slots = machine.task_slots;
   std::size_t stopped = machine.stopped;
-  for (; !need.fits(free); ++stopped) {
+  for (; task_slots <= 0 || !need.fits(free); ++stopped) {
     ++items_examined_;
     if (stopped == machine.candidates.size()) return std::nullopt;
     free += machine.candidates[stopped].need;
+    ++task_slots;
   }
   return stopped - machine.stopped;
 }
@@ -203,9 +208,11 @@
       const PreemptionCandidate& stopped = machine.candidates[machine.stopped];
       ++machine.stopped;
       machine.free += stopped.need;
+      ++machine.task_slots;
       plan.stopped.push_back(stopped);
     }
     machine.free -= need;
+    --machine.task_slots;
     plan.machines.push_back(machine.machine);
     if (auto stops = stops_until_fit(machine, need)) queue.push({*stops, next.position});
   }
--- a/src/scheduler/preemption.h
+++ b/src/scheduler/preemption.h
@@ -69,7 +69,8 @@
   /// A machine and its tasks that may be stopped.
   struct ExaminedMachine {
     Machine* machine = nullptr;
-    Resources free;  // once all stopping tasks have exited
+    Resources free;      // once all stopping tasks have exited
+    int task_slots = 0;  // the same
     std::vector<PreemptionCandidate> candidates;
     std::size_t stopped = 0;  // how many of the candidates, from the front
   };
--- a/src/scheduler/quota_reclaim.cc
+++ b/src/scheduler/quota_reclaim.cc
@@ -23,8 +23,12 @@
   /// `zone`: the only zone whose machines count; nullopt: all zones.
   ClaimedCapacity(const QuotaReclaimInput& input, std::optional<int> zone)
       : input_(input), zone_(zone), over_guarantee_(input.over_guarantee) {
-    for (const auto& machine : input.machines) free_.push_back(machine.free);
-    for (std::size_t i = 0; i < free_.size(); ++i) fitting_tasks_ += tasks_fitting(static_cast<int>(i));
+    for (const auto& machine : input.machines) {
+      free_.push_back(machine.free);
+      task_slots_.push_back(machine.task_slots);
+    }
+    for (std::size_t i = 0; i < free_.size(); ++i)
+      fitting_tasks_ += claimed_tasks_fitting(static_cast<int>(i));
   }
 
   bool enough() const { return fitting_tasks_ >= input_.tasks; }
@@ -45,18 +49,20 @@
 
   void take(const PreemptionUnit& unit) {
     for (int machine : unit.members) {
-      fitting_tasks_ -= tasks_fitting(machine);
+      fitting_tasks_ -= claimed_tasks_fitting(machine);
       free_[index_of(machine)] += unit.need;
-      fitting_tasks_ += tasks_fitting(machine);
+      ++task_slots_[index_of(machine)];
+      fitting_tasks_ += claimed_tasks_fitting(machine);
     }
     over_guarantee_[index_of(unit.team)] -= total_need(unit);
   }
 
   void put_back(const PreemptionUnit& unit) {
     for (int machine : unit.members) {
-      fitting_tasks_ -= tasks_fitting(machine);
+      fitting_tasks_ -= claimed_tasks_fitting(machine);
       free_[index_of(machine)] -= unit.need;
-      fitting_tasks_ += tasks_fitting(machine);
+      --task_slots_[index_of(machine)];
+      fitting_tasks_ += claimed_tasks_fitting(machine);
     }
     over_guarantee_[index_of(unit.team)] += total_need(unit);
   }
@@ -66,13 +72,15 @@
     const CandidateMachine& machine = input_.machines[index_of(position)];
     return machine.usable && (!zone_ || machine.zone == *zone_);
   }
-  int tasks_fitting(int position) const {
-    return usable(position) ? input_.need.times_in(free_[index_of(position)]) : 0;
+  int claimed_tasks_fitting(int position) const {
+    if (!usable(position)) return 0;
+    return tasks_fitting(input_.need, free_[index_of(position)], task_slots_[index_of(position)]);
   }
 
   const QuotaReclaimInput& input_;
   std::optional<int> zone_;
   std::vector<Resources> free_;
+  std::vector<int> task_slots_;
   std::vector<Resources> over_guarantee_;
   int fitting_tasks_ = 0;
 };
--- a/src/scheduler/quota_reclaim.h
+++ b/src/scheduler/quota_reclaim.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "machine.h"
 #include "model.h"
 
 namespace corkmux {
@@ -19,9 +20,10 @@
   bool one_zone = false;
   /// A machine on which the claim may get capacity.
   struct CandidateMachine {
-    Resources free;      // once all tasks that are already stopping have exited
-    int zone = 0;        // 0 and up
-    bool usable = true;  // whether the claim may use it
+    Resources free;                                  // once all tasks that are already stopping have exited
+    int zone = 0;                                    // 0 and up
+    bool usable = true;                              // whether the claim may use it
+    int task_slots = constants::kMaxTasksOnMachine;  // once all tasks that are already stopping have exited
   };
   std::vector<CandidateMachine> machines;
   /// The smallest unit that can be stopped: a task of an array or service, or a whole gang.
--- a/src/scheduler/scaling.cc
+++ b/src/scheduler/scaling.cc
@@ -59,12 +59,17 @@
     demand.returnable.push_back(&machine);
 }
 
+/// How many tasks of the job an empty machine of the type takes.
+int tasks_per_machine(const JobSpec& spec, const MachineType& type) {
+  return tasks_fitting(spec.need, type.size, c::kTaskSlotsCounted);
+}
+
 /// The machine types that may run the job, the cheapest per task first.
 std::vector<const MachineType*> types_by_cost(const Scheduler& scheduler, const JobSpec& spec) {
   std::vector<const MachineType*> types;
   for (const auto& type : scheduler.catalog())
-    if (spec.allows_type(type.name) && spec.need.times_in(type.size) > 0) types.push_back(&type);
-  auto cost_per_task = [&](const MachineType& type) { return type.price / spec.need.times_in(type.size); };
+    if (spec.allows_type(type.name) && tasks_per_machine(spec, type) > 0) types.push_back(&type);
+  auto cost_per_task = [&](const MachineType& type) { return type.price / tasks_per_machine(spec, type); };
   std::sort(types.begin(), types.end(), [&](const MachineType* left, const MachineType* right) {
     return cost_per_task(*left) < cost_per_task(*right);
   });
@@ -85,7 +90,7 @@
     if (job.spec.spot) demand.spot_allowed = true;
     if (types.size() > 1) overflow_types[cheapest.name] = types[1];
     if (job.queued > 0 && job.not_before <= now)
-      demand.wanted += static_cast<double>(job.queued) / job.spec.need.times_in(cheapest.size);
+      demand.wanted += static_cast<double>(job.queued) / tasks_per_machine(job.spec, cheapest);
   }
   return overflow_types;
 }
--- a/tests/job_limits_test.cc
+++ b/tests/job_limits_test.cc
@@ -1,7 +1,8 @@
-// Jobs at the limits of the protocol: 100,000 tasks, messages of 64 KiB. The tests count steps and bytes, never
-// time, so the result is the same on every computer.
+// Jobs at the limits of the protocol: 100,000 tasks, messages of 64 KiB. The tests count steps and bytes,
+// never time, so the result is the same on every computer.
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <vector>
 
 #include "heartbeat_reconciler.h"
@@ -24,6 +25,13 @@
   return spec;
 }
 
+/// An array of tasks so small that free CPUs and memory never hold them back.
+JobSpec tiny_array(int tasks) {
+  JobSpec spec = array_spec("run-array", "x", tasks, kTinyCpus);
+  spec.need.memory_gb = kTinyCpus;
+  return spec;
+}
+
 struct JobLimits : ::testing::Test {
   SchedulerModules modules;
 
@@ -36,8 +44,8 @@
   }
 };
 
-// Guards against a gang that stops all controllers: each member that is lost aborted the whole gang once more,
-// so that the steps grew with the square of its tasks.
+// Guards against a gang that stops all controllers: each member that is lost aborted the whole gang once
+// more, so that the steps grew with the square of its tasks.
 TEST_F(JobLimits, LosingAllMembersOfAGangTakesStepsThatGrowWithTheirNumber) {
   Machine& machine = modules.add_up_machine("n-1");
   Job& job = run_all(gang_spec(kTasks, kTinyCpus), machine);
@@ -92,8 +100,8 @@
   }
 };
 
-// Guards against successors that stop one after the other: the records name the gang's tasks on a machine whose
-// first heartbeat shows none of them.
+// Guards against successors that stop one after the other: the records name the gang's tasks on a machine
+// whose first heartbeat shows none of them.
 TEST_F(JobLimits, AFirstHeartbeatWithoutTheGangCostsANewLeaderStepsThatGrowWithItsTasks) {
   Machine& machine = modules.add_up_machine("n-1");
   modules.records.use_format(RecordFormat::V2);
@@ -108,8 +116,8 @@
   EXPECT_LE(next.tasks_examined(), 4u * kTasks);
 }
 
-// Guards against a search through all buckets of free capacity for each member: every placement gives a machine a
-// free capacity of its own, so the steps grew with tasks times machines.
+// Guards against a search through all buckets of free capacity for each member: every placement gives a
+// machine a free capacity of its own, so the steps grew with tasks times machines.
 TEST(JobLimitsInPlacement, PlacingAGangTakesStepsThatGrowWithItsTasks) {
   constexpr int kMachines = 600;
   Scheduler scheduler(SchedulerModules::config(), 1, 0, 1);
@@ -124,5 +132,82 @@
   for (const auto& [name, machine] : scheduler.machines()) EXPECT_GE(machine.free.cpus, -1e-6) << name;
 }
 
+/// The longest job id that is accepted, as one of the largest job.
+std::string longest_job_id() { return "run-" + std::string(c::kMaxJobId - 4, 'x'); }
+
+/// The longest text that PROTOCOL allows for a task in a report, as JSON.
+std::size_t longest_task_report() {
+  const std::string number = std::to_string(std::numeric_limits<std::uint64_t>::max());
+  const std::string task = longest_job_id() + "/" + std::to_string(kTasks - 1);
+  return (R"({"part":")" + task + R"(","try":)" + number +
+          R"(,"phase":"ended","cause":"mates_gone","kept":false},)")
+      .size();
+}
+
+constexpr std::size_t kMessageLimit = 64 * 1024;  // bytes; PROTOCOL's limit, counted as JSON
+constexpr std::size_t kHeartbeatFields = 1024;    // bytes; all but the tasks, with names of 200 bytes
+
+// Guards against a machine whose heartbeats no controller takes: its lease ends, and with it all of its
+// tasks.
+TEST_F(JobLimits, NoMachineIsGivenMoreTasksThanItsHeartbeatHolds) {
+  EXPECT_LE(c::kMaxTasksOnMachine * longest_task_report() + kHeartbeatFields, kMessageLimit);
+  Scheduler scheduler(SchedulerModules::config(), 1, 0, 1);
+  scheduler.set_catalog({plain_type({"a"})});
+  for (const char* name : {"n-1", "n-2"}) join(scheduler, first_heartbeat(name));
+  scheduler.upsert_job(tiny_array(kTasks), 1, false, 0);
+  for (int i = 0; i < 100; ++i) scheduler.schedule(0.1 * i);
+  for (const auto& [name, machine] : scheduler.machines())
+    EXPECT_EQ(machine.tasks.size(), static_cast<std::size_t>(c::kMaxTasksOnMachine)) << name;
+}
+
+// Tasks that have ended stay in the heartbeats until the worker has forgotten them.
+TEST_F(JobLimits, EndedTasksThatTheWorkerStillReportsTakeSlots) {
+  Scheduler scheduler(SchedulerModules::config(), 1, 0, 1);
+  scheduler.set_catalog({plain_type({"a"})});
+  join(scheduler, first_heartbeat("n-1"));
+  Heartbeat heartbeat = first_heartbeat("n-1");
+  heartbeat.seq = 9;
+  heartbeat.fencing_token = scheduler.machine("n-1")->worker.fencing_token;
+  for (int i = 0; i < 300; ++i)
+    heartbeat.tasks.push_back({"run-old", i, 3, TaskState::Exited, ExitReason::Error, false});
+  scheduler.on_heartbeat(heartbeat, Scheduler::Channel::Heartbeat, 0);
+  scheduler.upsert_job(tiny_array(kTasks), 1, false, 0);
+  for (int i = 0; i < 100; ++i) scheduler.schedule(0.1 * i);
+  EXPECT_EQ(scheduler.machine("n-1")->tasks.size(), static_cast<std::size_t>(c::kMaxTasksOnMachine - 300));
+}
+
+// A gang that no machine can report as a whole waits for as many machines as it needs, and is not refused.
+TEST_F(JobLimits, AGangIsSpreadOverMachinesThatCanReportItsTasks) {
+  Scheduler scheduler(SchedulerModules::config(), 1, 0, 1);
+  scheduler.set_catalog({plain_type({"a"})});
+  join(scheduler, first_heartbeat("n-1"));
+  scheduler.upsert_job(gang_spec(1000, kTinyCpus), 1, false, 0);
+  scheduler.schedule(1);
+  EXPECT_TRUE(scheduler.job("run-gang")->active.empty());
+  for (const char* name : {"n-2", "n-3", "n-4"}) join(scheduler, first_heartbeat(name), 1);
+  scheduler.schedule(2);
+  EXPECT_EQ(scheduler.job("run-gang")->active.size(), 1000u);
+  for (const auto& [name, machine] : scheduler.machines())
+    EXPECT_LE(machine.tasks.size(), static_cast<std::size_t>(c::kMaxTasksOnMachine)) << name;
+}
+
+// Where all slots of a machine are taken by less urgent tasks, some are stopped although it has free CPUs.
+TEST_F(JobLimits, AnUrgentJobGetsASlotOfAMachineFullOfTinyTasks) {
+  Scheduler scheduler(SchedulerModules::config(), 1, 0, 1);
+  scheduler.set_catalog({plain_type({"a"})});
+  join(scheduler, first_heartbeat("n-1"));
+  JobSpec tiny = tiny_array(1000);
+  tiny.priority = Priority::Low;
+  scheduler.upsert_job(tiny, 1, false, 0);
+  for (int i = 0; i < 10; ++i) scheduler.schedule(0.1 * i);
+  scheduler.records_written(scheduler.next_writes(100, true, 1), 2, 1);
+  scheduler.dispatch_done("n-1", scheduler.take_commands("n-1", 1), DispatchOutcome::Executed, 1);
+  JobSpec urgent = array_spec("run-urgent", "y", 1, 1);
+  urgent.priority = Priority::High;
+  scheduler.upsert_job(urgent, 3, false, 2);
+  scheduler.schedule(2);
+  EXPECT_EQ(scheduler.machine("n-1")->stopping, 1);
+}
+
 }  // namespace
 }  // namespace corkmux
