--- a/src/common/insertion_ordered_set.h
+++ b/src/common/insertion_ordered_set.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <utility>
 #include <vector>
@@ -31,13 +32,15 @@
   std::size_t size() const { return position_of_.size(); }
   /// The keys in the order of insertion, by an ascending position.
   const std::map<std::uint64_t, Key>& by_position() const { return by_position_; }
-  /// Removes all keys and returns them in the order of insertion.
-  std::vector<Key> take() {
+  /// Removes the first keys, `most` at most, and returns them in the order of insertion.
+  std::vector<Key> take(std::size_t most = std::numeric_limits<std::size_t>::max()) {
     std::vector<Key> out;
-    out.reserve(by_position_.size());
-    for (auto& [position, key] : by_position_) out.push_back(std::move(key));
-    by_position_.clear();
-    position_of_.clear();
+    while (out.size() < most && !by_position_.empty()) {
+      auto first = by_position_.begin();
+      position_of_.erase(first->second);
+      out.push_back(std::move(first->second));
+      by_position_.erase(first);
+    }
     return out;
   }
 
--- a/src/controller/lease_proxy.cc
+++ b/src/controller/lease_proxy.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "command_queue.h"
 #include "constants.h"
 #include "lease_proxy_record.h"
 #include "mutation.h"
@@ -153,7 +154,8 @@
   }
   std::vector<TaskCommand> stops;
   for (const auto& task : heartbeat.tasks)
-    if (!unfinished_jobs_.contains(task.job) && task.state != TaskState::Exited)
+    if (!unfinished_jobs_.contains(task.job) && task.state != TaskState::Exited &&
+        stops.size() < constants::kMaxCommandsPerMessage)  // the next heartbeat reports the others again
       stops.push_back({TaskCommand::Op::Stop, task.job, task.index, task.attempt, 0});
   ++renewals_;
   stops_ += static_cast<int>(stops.size());
--- a/src/scheduler/command_queue.cc
+++ b/src/scheduler/command_queue.cc
@@ -52,12 +52,15 @@
   for (const auto& [id, index] : machine.tasks) {
     const ActiveTask& task = state_.jobs().at(id).active.at(index);
     if (task.stage == Stage::Assigned || !needs_stop(task)) continue;
+    out.more = out.commands.size() == constants::kMaxCommandsPerMessage;
+    if (out.more) return;
     out.commands.push_back({TaskCommand::Op::Stop, id, index, task.attempt, task.grace_s});
   }
 }
 
 void CommandQueue::take_launches(Machine& machine, CommandBatch& out, double now) {
-  for (const TaskId& id : machine.commands.outbox.take()) {
+  const std::size_t most = constants::kMaxCommandsPerMessage - out.commands.size();
+  for (const TaskId& id : machine.commands.outbox.take(most)) {
     Job* job = state_.job(id.job);
     ActiveTask* task = job ? job->find_active(id.index) : nullptr;
     if (!task) continue;
@@ -75,12 +78,12 @@
 }
 
 std::vector<TaskCommand> CommandQueue::take_launches_for_reply(Machine& machine, std::uint64_t seq,
-                                                               double now) {
+                                                               std::size_t most, double now) {
   std::vector<TaskCommand> out;
   if (machine.takes_commands_directly() || machine.commands.dispatch_in_flight ||
       !state_.usable(machine, now))
     return out;
-  for (const TaskId& id : machine.commands.outbox.take()) {
+  for (const TaskId& id : machine.commands.outbox.take(most)) {
     Job* job = state_.job(id.job);
     ActiveTask* task = job ? job->find_active(id.index) : nullptr;
     if (!task) continue;
@@ -119,6 +122,7 @@
     if (!batch.commands.empty()) machine->commands.needs_dispatch = true;
   } else {
     machine->commands.channel = CommandChannel::Direct;
+    if (batch.more && outcome == DispatchOutcome::Executed) machine->commands.needs_dispatch = true;
   }
   for (std::size_t i = 0; i < batch.launches.size(); ++i)
     launch_done(batch.launches[i], batch.attempts[i], outcome, *machine, now);
--- a/src/scheduler/command_queue.h
+++ b/src/scheduler/command_queue.h
@@ -4,6 +4,7 @@
 // task. Depends on ClusterState and on TaskLifecycle, which withdraws launches that cannot be sent. It does
 // not send anything itself; it alone decides which fencing token a command carries.
 #pragma once
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,6 +14,15 @@
 
 namespace corkmux {
 
+namespace constants {
+
+/// Commands to one worker in one message. A message may have 64 KiB, of which a command takes 160 bytes at
+/// most. More are needed only for a machine that a former version has given more tasks than
+/// kMaxTasksOnMachine.
+inline constexpr std::size_t kMaxCommandsPerMessage = 384;
+
+}  // namespace constants
+
 /// Commands that are sent to one worker in one request.
 struct CommandBatch {
   std::uint64_t fencing_token = 0;
@@ -20,6 +30,7 @@
   std::vector<TaskCommand> commands;
   std::vector<TaskId> launches;         // tasks that the batch starts
   std::vector<std::uint64_t> attempts;  // of each launch, in the same order
+  bool more = false;                    // not all commands fitted: the others follow with the next batch
 };
 
 /// The outcome of sending a batch.
@@ -41,8 +52,9 @@
   CommandBatch take(const std::string& name, double now);
   /// Applies the outcome of the batch; launches that were not executed are withdrawn.
   void done(const std::string& name, const CommandBatch& batch, DispatchOutcome outcome, double now);
-  /// Takes the launches for an unreachable machine, to be sent with the reply to heartbeat `seq`.
-  std::vector<TaskCommand> take_launches_for_reply(Machine& machine, std::uint64_t seq, double now);
+  /// Takes at most `most` launches for an unreachable machine, to be sent with the reply to heartbeat `seq`.
+  std::vector<TaskCommand> take_launches_for_reply(Machine& machine, std::uint64_t seq, std::size_t most,
+                                                   double now);
   /// Stops direct sending to the machine until the next probe; until then launches go with heartbeat replies.
   void set_unreachable(Machine& machine, double now);
   /// Whether a stop has to be sent. A saving task has received one, and needs another only without grace
--- a/src/scheduler/heartbeat_reconciler.cc
+++ b/src/scheduler/heartbeat_reconciler.cc
@@ -144,7 +144,7 @@
   }
   if (!assigned) {
     // No stored assignment allows this attempt to run: it was cancelled, finished or superseded.
-    pass.result.commands.push_back(command(TaskCommand::Op::Stop, status));
+    add_command(pass, command(TaskCommand::Op::Stop, status));
     return;
   }
   pass.present.insert({status.job, status.index});
@@ -158,7 +158,12 @@
   if (task->stage == Stage::Waiting || task->stage == Stage::Running) state_.record_image(machine, job->spec);
   if (before != task->stage) state_.mark_changed(status.job);
   if (CommandQueue::needs_stop(*task))
-    pass.result.commands.push_back(command(TaskCommand::Op::Stop, status, task->grace_s));
+    add_command(pass, command(TaskCommand::Op::Stop, status, task->grace_s));
+}
+
+// What does not fit into the reply is left out: the next heartbeat reports the task again.
+void HeartbeatReconciler::add_command(Reconciliation& pass, const TaskCommand& command) {
+  if (pass.result.commands.size() < c::kMaxCommandsPerMessage) pass.result.commands.push_back(command);
 }
 
 // The worker is told to stop the task in any case; the line says that a rule of the protocol is violated.
@@ -200,7 +205,7 @@
     if (!token) return;
     machine.worker.fencing_token = *token;
   }
-  pass.result.commands.insert(pass.result.commands.end(), pass.ended.begin(), pass.ended.end());
+  for (const TaskCommand& forget : pass.ended) add_command(pass, forget);
 }
 
 // A task that a heartbeat does not report is absent only if no launch of it by this leader can still arrive.
@@ -253,7 +258,8 @@
 
 void HeartbeatReconciler::attach_launches(Reconciliation& pass) {
   if (pass.channel != HeartbeatChannel::Heartbeat) return;
-  const auto launches = commands_.take_launches_for_reply(pass.machine, pass.heartbeat.seq, pass.now);
+  const std::size_t most = c::kMaxCommandsPerMessage - pass.result.commands.size();
+  const auto launches = commands_.take_launches_for_reply(pass.machine, pass.heartbeat.seq, most, pass.now);
   pass.result.commands.insert(pass.result.commands.end(), launches.begin(), launches.end());
 }
 
--- a/src/scheduler/heartbeat_reconciler.h
+++ b/src/scheduler/heartbeat_reconciler.h
@@ -64,6 +64,7 @@
   void check_cancel_deadline(const Reconciliation& pass, Job& job);
   void acknowledge_ended_tasks(Reconciliation& pass);
   void mark_absent_tasks_lost(Reconciliation& pass);
+  static void add_command(Reconciliation& pass, const TaskCommand& command);
   static void count_other_tasks(const Reconciliation& pass);
   void update_load(Machine& machine, double now);
   void attach_launches(Reconciliation& pass);
--- a/tests/command_queue_test.cc
+++ b/tests/command_queue_test.cc
@@ -8,6 +8,8 @@
 namespace corkmux {
 namespace {
 
+constexpr std::size_t kAll = constants::kMaxCommandsPerMessage;
+
 struct CommandQueueTest : ::testing::Test {
   SchedulerModules modules;
   CommandQueue queue{modules.state, modules.lifecycle};
@@ -47,12 +49,12 @@
 
 TEST_F(CommandQueueTest, LaunchesGoWithHeartbeatRepliesOnlyWhileTheWorkerIsUnreachable) {
   modules.launch(job, 0, machine);
-  EXPECT_TRUE(queue.take_launches_for_reply(machine, 7, 1).empty());
+  EXPECT_TRUE(queue.take_launches_for_reply(machine, 7, kAll, 1).empty());
   queue.set_unreachable(machine, 1);
   EXPECT_FALSE(queue.has_commands(machine));
-  EXPECT_EQ(queue.take_launches_for_reply(machine, 7, 1).size(), 1u);
+  EXPECT_EQ(queue.take_launches_for_reply(machine, 7, kAll, 1).size(), 1u);
   EXPECT_EQ(job.active.at(0).after_seq, 7u);
-  EXPECT_TRUE(queue.take_launches_for_reply(machine, 8, 1).empty()) << "each launch is taken once";
+  EXPECT_TRUE(queue.take_launches_for_reply(machine, 8, kAll, 1).empty()) << "each launch is taken once";
 }
 
 TEST_F(CommandQueueTest, AStopIsSentUnlessTheTaskIsAlreadySaving) {
--- a/tests/job_limits_test.cc
+++ b/tests/job_limits_test.cc
@@ -2,10 +2,12 @@
 // never time, so the result is the same on every computer.
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <limits>
 #include <vector>
 
-#include "heartbeat_reconciler.h"
+#include "codec.h"
+#include "command_queue.h"
 #include "scheduler_modules.h"
 #include "wire_constants.h"
 
@@ -209,5 +211,69 @@
   EXPECT_EQ(scheduler.machine("n-1")->stopping, 1);
 }
 
+struct CommandsOfFormerVersion : JobLimits {
+  CommandQueue queue{modules.state, modules.lifecycle};
+  Machine& machine = modules.add_up_machine("n-1");
+
+  /// Sends command batches until none is left; returns their sizes.
+  std::vector<std::size_t> send_all(const std::function<void(const CommandBatch&)>& executed) {
+    std::vector<std::size_t> sizes;
+    while (!queue.machines_with_commands().empty()) {
+      const CommandBatch batch = queue.take("n-1", 1);
+      sizes.push_back(batch.commands.size());
+      queue.done("n-1", batch, DispatchOutcome::Executed, 1);
+      executed(batch);
+    }
+    return sizes;
+  }
+};
+
+const std::vector<std::size_t> kBatchesForThousandCommands{
+    c::kMaxCommandsPerMessage, c::kMaxCommandsPerMessage, 1000 - 2 * c::kMaxCommandsPerMessage};
+
+// Guards against requests that no worker takes: a former leader may have given a machine any number of tasks.
+TEST_F(CommandsOfFormerVersion, LaunchesAreSentInRequestsOfAtMost64KiB) {
+  JobSpec spec = tiny_array(1000);
+  Job& job = modules.add_job(spec);
+  for (int i = 0; i < spec.tasks; ++i) modules.lifecycle.assign(job, i, machine, 7, 0);
+  modules.lifecycle.records_written(modules.records.next_writes(100, true, 0), 5, 0);
+  EXPECT_EQ(send_all([](const CommandBatch&) {}), kBatchesForThousandCommands);
+  for (const auto& [index, task] : job.active) EXPECT_EQ(task.stage, ActiveTask::Stage::Sent) << index;
+}
+
+TEST_F(CommandsOfFormerVersion, StopsAreSentInRequestsOfAtMost64KiB) {
+  Job& job = run_all(tiny_array(1000), machine);
+  modules.lifecycle.cancel(job, 1);
+  auto exit_all = [&](const CommandBatch& batch) {
+    for (const TaskCommand& stop : batch.commands)
+      modules.lifecycle.task_exited(
+          job, {stop.job, stop.index, stop.attempt, TaskState::Exited, ExitReason::Stopped, false}, machine,
+          1);
+  };
+  EXPECT_EQ(send_all(exit_all), kBatchesForThousandCommands);
+  EXPECT_TRUE(job.active.empty());
+}
+
+TEST_F(CommandsOfFormerVersion, ARepliesCommandsFitInto64KiB) {
+  Scheduler scheduler(SchedulerModules::config(), 2, 0, 1);
+  scheduler.set_catalog({plain_type({"a"})});
+  join(scheduler, first_heartbeat("n-1"));
+  Heartbeat heartbeat = first_heartbeat("n-1");
+  heartbeat.seq = 9;
+  heartbeat.fencing_token = scheduler.machine("n-1")->worker.fencing_token;
+  for (int i = 0; i < 1000; ++i)
+    heartbeat.tasks.push_back(
+        {"run-old", i, 3, i % 2 ? TaskState::Exited : TaskState::Running, ExitReason::Error});
+  const auto result = scheduler.on_heartbeat(heartbeat, Scheduler::Channel::Heartbeat, 0);
+  EXPECT_EQ(result.commands.size(), c::kMaxCommandsPerMessage);
+}
+
+TEST(CommandsInAMessage, TheLongestFitInto64KiB) {
+  const std::uint64_t number = std::numeric_limits<std::uint64_t>::max();
+  const TaskCommand stop{TaskCommand::Op::Stop, longest_job_id(), kTasks - 1, number, 123456.78901234567};
+  const std::vector<TaskCommand> commands(c::kMaxCommandsPerMessage, stop);
+  EXPECT_LE(codec::commands_to_wire(number, commands, number).dump().size(), kMessageLimit);
+}
+
 }  // namespace
 }  // namespace corkmux
