--- a/tests/heartbeat_fanin_test.cc
+++ b/tests/heartbeat_fanin_test.cc
@@ -295,6 +295,17 @@
   EXPECT_EQ(statuses_["n-1"], std::vector<int>{0});
 }
 
+// Guards against an outcome that is never sent, and with it all outcomes behind it: a worker's heartbeat may
+// have 64 KiB, a batch has 48 KiB.
+TEST_F(HeartbeatForwarderTest, AnOutcomeTooLongForABatchIsSentAsUnknown) {
+  forwarder_.add_outcome({77, WorkerReply::from_wire(200, true, std::string(60 * 1024, 'x'))});
+  forwarder_.add_outcome({78, WorkerReply::from_wire(200, true, "body")});
+  ASSERT_TRUE(wait_for([&] { return posts_.size() == 1; }));
+  ASSERT_EQ(posts_[0].batch.outcomes.size(), 2u);
+  EXPECT_EQ(posts_[0].batch.outcomes[0].reply.kind(), WorkerReply::Kind::Unanswered);
+  EXPECT_EQ(posts_[0].batch.outcomes[1].reply.kind(), WorkerReply::Kind::Executed);
+}
+
 TEST_F(HeartbeatForwarderTest, OutcomesAreSentWithHeartbeats) {
   forwarder_.add_outcome({77, WorkerReply::from_wire(200, true, "body")});
   forward("n-1", 1);
