--- a/src/leader/lease_expiry_monitor.cc
+++ b/src/leader/lease_expiry_monitor.cc
@@ -49,10 +49,9 @@
   double now = steady_now();
   if (!mutation_enabled("lease proxy records are ignored"))
     for (const auto& [machine, until] : renewed_until) scheduler_.renewed_by_proxy(machine, until);
-  auto expired = scheduler_.machines_with_expired_leases(now);
+  const auto expired = scheduler_.machines_with_expired_leases(now);
   for (const auto& machine : expired_before)
-    if (std::find(expired.begin(), expired.end(), machine) != expired.end())
-      scheduler_.lease_expired(machine, now);
+    if (std::binary_search(expired.begin(), expired.end(), machine)) scheduler_.lease_expired(machine, now);
   callbacks_.changed();
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -127,7 +127,7 @@
   std::vector<std::string> decommissioning() const { return machines_.decommissioning(); }
   bool usable(const Machine& machine, double now) const { return state_.usable(machine, now); }
   /// Machines with tasks whose leases have expired unless a lease proxy has renewed them. The lease proxies
-  /// have to be queried before the tasks count as lost.
+  /// have to be queried before the tasks count as lost. Sorted by name.
   std::vector<std::string> machines_with_expired_leases(double now) const {
     return machines_.machines_with_expired_leases(now);
   }
