--- a/src/controller/lease_proxy_records.h
+++ b/src/controller/lease_proxy_records.h
@@ -2,6 +2,7 @@
 // proxy: as many records as the names need, all written in one transaction on the condition that no other
 // write changed them. Owns their revisions; does not decide which workers are named.
 #pragma once
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,12 @@
 #include "state_client.h"
 
 namespace corkmux {
+namespace constants {
+
+/// bytes of names; all records are written in one transaction, for which the state store's limit is 64 KiB.
+inline constexpr std::size_t kLeaseProxyNameBytes = 48 * 1024;
+
+}  // namespace constants
 
 class LeaseProxyRecords {
  public:
@@ -32,7 +39,10 @@
   /// Makes the records name exactly these workers; call only while revisions_known().
   void write(const Names& machines, WriteCallback done);
   /// Bytes of names that all records together may hold.
-  std::size_t capacity() const { return record_size_ * static_cast<std::size_t>(max_records_) * 9 / 10; }
+  std::size_t capacity() const {
+    return std::min(constants::kLeaseProxyNameBytes,
+                    record_size_ * static_cast<std::size_t>(max_records_) * 9 / 10);
+  }
   /// Bytes of a name in a record, with its quotes and comma.
   static std::size_t bytes_of(const std::string& machine) { return machine.size() + 3; }
 
--- a/src/scheduler/task_record_store.cc
+++ b/src/scheduler/task_record_store.cc
@@ -108,10 +108,18 @@
 
 std::vector<TaskRecordWrite> TaskRecordStore::next_writes(int max_writes, bool has_spare_capacity,
                                                           double now) {
-  std::vector<TaskRecordWrite> out;
-  take_writes(urgent_, kNever, max_writes, out);
-  take_writes(deferrable_, has_spare_capacity ? kNever : now - c::kDeferrableWait, max_writes, out);
-  return out;
+  Batch batch;
+  batch.max_writes = max_writes;
+  batch.full = max_writes <= 0;
+  take_writes(urgent_, kNever, batch);
+  take_writes(deferrable_, has_spare_capacity ? kNever : now - c::kDeferrableWait, batch);
+  return std::move(batch.writes);
+}
+
+void TaskRecordStore::Batch::add(TaskRecordWrite write, std::size_t write_bytes) {
+  writes.push_back(std::move(write));
+  bytes += write_bytes;
+  full = static_cast<int>(writes.size()) >= max_writes;
 }
 
 bool TaskRecordStore::needs_write(const Job& job, const TaskRecord& record) {
@@ -146,10 +154,9 @@
   return write;
 }
 
-void TaskRecordStore::take_writes(std::deque<DirtyRecord>& queue, double not_after, int max_writes,
-                                  std::vector<TaskRecordWrite>& out) {
+void TaskRecordStore::take_writes(std::deque<DirtyRecord>& queue, double not_after, Batch& batch) {
   std::deque<DirtyRecord> waiting;
-  while (!queue.empty() && static_cast<int>(out.size()) < max_writes && queue.front().since <= not_after) {
+  while (!queue.empty() && !batch.full && queue.front().since <= not_after) {
     DirtyRecord entry = std::move(queue.front());
     queue.pop_front();
     Job* job = state_.job(entry.job);
@@ -162,14 +169,20 @@
     }
     TaskRecordWrite write = encode(*job, entry.from, *record);
     const bool can_split = format_ == RecordFormat::V2 && record->count > 1;
-    if (can_split && json_size(write.value) > record_limit_) {
+    const std::size_t size = json_size(write.value);
+    if (can_split && size > record_limit_) {
       split(*job, entry.from, *record);
       queue.push_front(entry);
       queue.push_front({entry.job, *record->split_off, entry.since});
       continue;
     }
+    if (!batch.has_room_for(size + c::kWriteOverhead)) {
+      queue.push_front(std::move(entry));
+      batch.full = true;
+      continue;
+    }
     record->in_flight = true;
-    out.push_back(std::move(write));
+    batch.add(std::move(write), size + c::kWriteOverhead);
   }
   queue.insert(queue.begin(), std::make_move_iterator(waiting.begin()),
                std::make_move_iterator(waiting.end()));
--- a/src/scheduler/task_record_store.h
+++ b/src/scheduler/task_record_store.h
@@ -23,6 +23,11 @@
 
 inline constexpr double kDeferrableWait = 1.0;  // s that task ends wait behind writes that launches need
 inline constexpr int kTasksPerRecord = 256;     // before any split
+/// bytes of the records of one batch, with kWriteOverhead for each; the state store's limit for a transaction
+/// is 64 KiB, of which a condition on the leader's record takes a part.
+inline constexpr std::size_t kBatchRecordBytes = 60 * 1024;
+/// bytes of a record's key, its condition, and a condition on the end of its job.
+inline constexpr std::size_t kWriteOverhead = 512;
 
 }  // namespace constants
 
@@ -50,8 +55,9 @@
   /// Whether the task's record is stored with all its changes.
   bool is_persisted(Job& job, int index);
 
-  /// Returns the next writes, `max_writes` at most: first the records that launches wait for, then the
-  /// deferrable ones, if the store writer has spare capacity or once they have waited for kDeferrableWait.
+  /// Returns the next writes, `max_writes` and kBatchRecordBytes at most: first the records that launches
+  /// wait for, then the deferrable ones, if the store writer has spare capacity or once they have waited for
+  /// kDeferrableWait.
   std::vector<TaskRecordWrite> next_writes(int max_writes, bool has_spare_capacity, double now);
   /// Notes that the write is stored under `revision`. Returns the record, or nullptr if it no longer exists.
   const TaskRecord* mark_written(Job& job, const TaskRecordWrite& write, std::uint64_t revision, double now);
@@ -93,8 +99,19 @@
   };
   RecordEntry record_containing(Job& job, int index);
   std::deque<DirtyRecord>& queue_of(const TaskRecord& record);
-  void take_writes(std::deque<DirtyRecord>& queue, double not_after, int max_writes,
-                   std::vector<TaskRecordWrite>& out);
+  /// A batch that is being filled.
+  struct Batch {
+    int max_writes = 0;
+    std::vector<TaskRecordWrite> writes;
+    std::size_t bytes = 0;
+    bool full = false;  // no further write may be added
+
+    bool has_room_for(std::size_t more_bytes) const {
+      return writes.empty() || bytes + more_bytes <= constants::kBatchRecordBytes;
+    }
+    void add(TaskRecordWrite write, std::size_t write_bytes);
+  };
+  void take_writes(std::deque<DirtyRecord>& queue, double not_after, Batch& batch);
   static bool needs_write(const Job& job, const TaskRecord& record);
   static bool waits_for_split_off(const Job& job, TaskRecord& record);
   TaskRecordWrite encode(const Job& job, int from, const TaskRecord& record) const;
--- a/tests/lease_proxy_test.cc
+++ b/tests/lease_proxy_test.cc
@@ -55,6 +55,24 @@
   EXPECT_EQ(parse_lease_proxy_record(state.values().at("k/one")).machines, std::vector<std::string>{"n-1"});
 }
 
+// Guards against records that no transaction can write: it may have 64 KiB, whatever its records may have.
+TEST_F(LeaseProxyTest, AllRecordsFitIntoOneTransaction) {
+  Settings settings;
+  settings.label = "one";
+  settings.next = {500, 16, 12};
+  LeaseProxyRecords records(settings, client);
+  std::set<std::string> machines;
+  std::size_t bytes = 0;
+  for (int i = 0; bytes + 20 < records.capacity(); ++i) {
+    const std::string name = "n-" + std::to_string(100000 + i);
+    machines.insert(name);
+    bytes += LeaseProxyRecords::bytes_of(name);
+  }
+  const codec::Json all(std::vector<std::string>(machines.begin(), machines.end()));
+  constexpr std::size_t kFieldsOfRecord = 200;  // bytes of key, condition and other fields of a record
+  EXPECT_LE(all.dump().size() + 12 * kFieldsOfRecord, 64u * 1024);
+}
+
 TEST_F(LeaseProxyTest, PassesOnTheLatestTermSoThatLateCommandsOfFormerLeadersAreRefused) {
   put({{"j", 1}, {"c", 0}});
   lease_proxy->term_changed(7);
