--- a/src/leader/command_dispatcher.cc
+++ b/src/leader/command_dispatcher.cc
@@ -84,10 +84,14 @@
 void CommandDispatcher::settle(const std::string& machine, const CommandBatch& commands, Outcome outcome,
                                const std::string& body) {
   double now = steady_now();
+  const bool answered = outcome == Outcome::Executed || outcome == Outcome::Refused;
+  const auto heartbeat = answered ? heartbeat_in(body) : std::nullopt;
+  // Without the machine's own report it is not known what happened there: another machine may have its
+  // address now and have executed the commands, and a heartbeat from before the commands would prove what
+  // they started to be absent.
+  if (answered && (!heartbeat || heartbeat->machine != machine)) outcome = Outcome::Unanswered;
   scheduler_.dispatch_done(machine, commands, outcome, now);
-  if (outcome == Outcome::Executed || outcome == Outcome::Refused)
-    if (auto heartbeat = heartbeat_in(body))
-      scheduler_.on_heartbeat(*heartbeat, Scheduler::Channel::CommandBatch, now);
+  if (heartbeat) scheduler_.on_heartbeat(*heartbeat, Scheduler::Channel::CommandBatch, now);
   callbacks_.changed();
 }
 
