--- a/src/scheduler/cluster_state.cc
+++ b/src/scheduler/cluster_state.cc
@@ -106,9 +106,33 @@
   auto found = machines_.find(name);
   if (found == machines_.end()) return;
   capacity_index_.remove(found->second);
+  forget_address(found->second);
   machines_.erase(found);
 }
 
+Machine* ClusterState::machine_at(const std::string& address) {
+  auto found = machine_at_.find(address);
+  return found == machine_at_.end() ? nullptr : machine(found->second);
+}
+
+void ClusterState::set_address(Machine& machine, const std::string& address) {
+  if (machine.address == address) return;
+  forget_address(machine);
+  machine.address = address;
+  if (Machine* former = machine_at(address)) {
+    note("machine " + machine.name + " has the address " + address + " of machine " + former->name);
+    former->address.clear();
+    // What was sent to the former machine may still arrive: the worker refuses it once it has this token.
+    raise_fencing_token(machine);
+  }
+  machine_at_[address] = machine.name;
+}
+
+void ClusterState::forget_address(const Machine& machine) {
+  auto found = machine_at_.find(machine.address);
+  if (found != machine_at_.end() && found->second == machine.name) machine_at_.erase(found);
+}
+
 void ClusterState::remove_unknown_machines() {
   std::erase_if(machines_, [](const auto& entry) {
     const Machine& machine = entry.second;
--- a/src/scheduler/cluster_state.h
+++ b/src/scheduler/cluster_state.h
@@ -80,6 +80,10 @@
   /// Returns the machine of that name and adds it if there is none.
   AddedMachine add_machine(const std::string& name, double now);
   void remove_machine(const std::string& name);
+  /// The machine that has the address, as far as is known; null if there is none.
+  Machine* machine_at(const std::string& address);
+  /// Sets the machine's address. Another machine that had it is no longer there and gets no more commands.
+  void set_address(Machine& machine, const std::string& address);
   /// Removes machines that only task records name and that have no tasks left.
   void remove_unknown_machines();
   /// Must be called after every change of a machine field that the index depends on.
@@ -147,6 +151,7 @@
   /// of stoppable tasks. Gang members are never counted as stoppable.
   void count_task(Machine& machine, const Job& job, const ActiveTask& task, int by);
   void release_quota(const Job& job);
+  void forget_address(const Machine& machine);
 
   SchedulerConfig config_;
   SequenceNumbers sequence_;
@@ -154,6 +159,7 @@
   std::vector<MachineType> types_;
   std::unordered_map<std::string, Job> jobs_;
   std::map<std::string, Machine> machines_;
+  std::unordered_map<std::string, std::string> machine_at_;  // by address
   std::map<std::string, Team> teams_;
   std::map<std::string, Resources> team_use_;
   std::map<std::string, Resources> team_stopping_;
--- a/src/scheduler/heartbeat_reconciler.cc
+++ b/src/scheduler/heartbeat_reconciler.cc
@@ -1,6 +1,7 @@
 #include "heartbeat_reconciler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "cancel_deadline.h"
@@ -27,6 +28,27 @@
   }
 }
 
+/// Whether a mutation gives workers tokens that are not theirs. The leader would recover from that, so that
+/// no simulation would find the mutation.
+bool mutation_gives_tokens_of_others() {
+  return mutation_enabled("a term is used twice") || mutation_enabled("answers of a batch are swapped");
+}
+
+/// How a heartbeat relates to the latest one that is known of its machine.
+enum class HeartbeatAge { Newer, Older, OfRestartedMachine };
+
+/// While a machine runs, the epoch and sequence of its heartbeats rise with time, and the token that it shows
+/// never falls. So a heartbeat with a lower token is older, or of another incarnation of the machine that has
+/// not been answered by this leader; one that is older by its sequence and has a higher token is of a later
+/// incarnation.
+HeartbeatAge age_of(const Heartbeat& heartbeat, const WorkerConnection& known) {
+  if (heartbeat.fencing_token < known.observed_token) return HeartbeatAge::Older;
+  if (std::tie(heartbeat.worker_epoch, heartbeat.seq) > std::tie(known.epoch, known.seq))
+    return HeartbeatAge::Newer;
+  return heartbeat.fencing_token > known.observed_token ? HeartbeatAge::OfRestartedMachine
+                                                        : HeartbeatAge::Older;
+}
+
 TaskCommand command(TaskCommand::Op op, const TaskStatus& status, double grace_s = 0) {
   return {op, status.job, status.index, status.attempt, grace_s};
 }
@@ -44,9 +66,10 @@
     return refusal;
   }
   Machine& machine = find_or_add_machine(heartbeat, now);
-  refusal.fencing_token = machine.worker.fencing_token;
-  if (is_stale(heartbeat, machine)) return refusal;
-
+  if (!is_current(heartbeat, machine, now)) {
+    refusal.fencing_token = machine.worker.fencing_token;
+    return refusal;
+  }
   if (heartbeat.worker_epoch > machine.worker.epoch) begin_epoch(heartbeat, machine, now);
   if (state_.silent(machine, now)) state_.request_cycle();
   machine.worker.seq = heartbeat.seq;
@@ -78,9 +101,12 @@
 }
 
 Machine& HeartbeatReconciler::find_or_add_machine(const Heartbeat& heartbeat, double now) {
-  Machine& machine = state_.add_machine(heartbeat.machine, now).machine;
+  auto [machine, added] = state_.add_machine(heartbeat.machine, now);
+  // Commands to a machine that had this address before may still arrive here: their tokens are lower than one
+  // that is given now, not than one that was given when the machine was requested.
+  if (!added && !machine.is_up() && !mutation_gives_tokens_of_others()) state_.raise_fencing_token(machine);
   if (!machine.is_up() || machine.type.empty()) register_worker(heartbeat, machine, now);
-  if (!heartbeat.address.empty()) machine.address = heartbeat.address;
+  if (!heartbeat.address.empty()) state_.set_address(machine, heartbeat.address);
   state_.mark_for_dispatch(machine.name);
   return machine;
 }
@@ -101,22 +127,71 @@
 }
 
 // Late and reordered heartbeats do not describe the machine's present state.
-bool HeartbeatReconciler::is_stale(const Heartbeat& heartbeat, const Machine& machine) {
-  if (heartbeat.worker_epoch != machine.worker.epoch) return heartbeat.worker_epoch < machine.worker.epoch;
-  return heartbeat.seq <= machine.worker.seq;
+bool HeartbeatReconciler::is_current(const Heartbeat& heartbeat, Machine& machine, double now) {
+  switch (age_of(heartbeat, machine.worker)) {
+    case HeartbeatAge::Newer:
+      return true;
+    case HeartbeatAge::Older:
+      suspect_restart(heartbeat, machine, now);
+      return false;
+    case HeartbeatAge::OfRestartedMachine:
+      break;
+  }
+  if (!refuses_former_launches(heartbeat, machine)) return false;
+  begin_incarnation(heartbeat, machine);
+  return true;
+}
+
+// A copy of a launch that the machine's former incarnation has executed must not start the task a second
+// time: the restarted worker has no attempts, and its first epoch has the same number. So its heartbeats
+// count only once it shows a token above those of all launches to this machine.
+bool HeartbeatReconciler::refuses_former_launches(const Heartbeat& heartbeat, Machine& machine) {
+  if (heartbeat.fencing_token > machine.worker.last_launch_token) return true;
+  if (machine.worker.fencing_token <= heartbeat.fencing_token) state_.raise_fencing_token(machine);
+  return false;
+}
+
+// An old heartbeat that arrives late looks like one of a restarted machine, which counts epochs and
+// heartbeats from the beginning again. The answer to it carries a token that the machine has not shown: a
+// restarted machine shows it next, and the late one's answer reaches nobody.
+void HeartbeatReconciler::suspect_restart(const Heartbeat& heartbeat, Machine& machine, double now) {
+  const double heard_s = c::kRestartSuspectedAfterHeartbeats * state_.config().report_s;
+  const bool heard_recently = now - machine.worker.last_heartbeat_at < heard_s;
+  const bool of_this_term = heartbeat.fencing_token > state_.sequence().base();
+  if (of_this_term && heard_recently) return;
+  if (machine.worker.fencing_token > machine.worker.observed_token) return;
+  if (const std::optional<std::uint64_t> token = state_.sequence().next())
+    machine.worker.fencing_token = *token;
+}
+
+void HeartbeatReconciler::begin_incarnation(const Heartbeat& heartbeat, Machine& machine) {
+  state_.note("machine " + machine.name + " has restarted: its worker begins at epoch " +
+              std::to_string(heartbeat.worker_epoch));
+  state_.clear_images(machine);
+  machine.worker.epoch = heartbeat.worker_epoch;
+  machine.worker.seq = 0;
+  // Launches in replies to the former incarnation's heartbeats can no longer arrive.
+  for (const auto& [id, index] : machine.tasks) state_.jobs().at(id).active.at(index).after_seq = 0;
 }
 
 void HeartbeatReconciler::begin_epoch(const Heartbeat& heartbeat, Machine& machine, double now) {
   const std::uint64_t epoch = heartbeat.worker_epoch;
   if (machine.worker.epoch)
     state_.note("machine " + machine.name + " began worker epoch " + std::to_string(epoch));
-  lifecycle_.mark_all_lost(machine, "lost its lease", now, epoch);
+  // A heartbeat without a token of this term may be of a former incarnation of the machine, whose epochs say
+  // nothing of what runs there now.
+  if (heartbeat.fencing_token > state_.sequence().base())
+    lifecycle_.mark_all_lost(machine, "lost its lease", now, epoch);
   state_.clear_images(machine);
   machine.worker.epoch = epoch;
   machine.worker.seq = 0;
 }
 
 void HeartbeatReconciler::observe_token(const Heartbeat& heartbeat, Machine& machine, double now) {
+  // The worker has obeyed a command that was meant for another machine, at whose former address it is now: it
+  // drops all answers with lower tokens.
+  if (heartbeat.fencing_token > machine.worker.fencing_token && !mutation_gives_tokens_of_others())
+    state_.raise_fencing_token(machine);
   const std::uint64_t base = state_.sequence().base();
   const bool newly_of_this_term = machine.worker.observed_token <= base && heartbeat.fencing_token > base;
   machine.worker.observed_token = std::max(machine.worker.observed_token, heartbeat.fencing_token);
--- a/src/scheduler/heartbeat_reconciler.h
+++ b/src/scheduler/heartbeat_reconciler.h
@@ -18,6 +18,8 @@
 namespace constants {
 
 inline constexpr double kSlopeSmoothing = 0.3;  // weight of the newest slope of slack and starting tasks
+/// Missed heartbeats after which older ones are taken for those of a restarted machine, not for late copies.
+inline constexpr double kRestartSuspectedAfterHeartbeats = 1.5;
 
 }  // namespace constants
 
@@ -56,7 +58,10 @@
   // The steps of reconcile(), in their order.
   bool carries_foreign_token(const Heartbeat& heartbeat) const;
   Machine& find_or_add_machine(const Heartbeat& heartbeat, double now);
-  static bool is_stale(const Heartbeat& heartbeat, const Machine& machine);
+  bool is_current(const Heartbeat& heartbeat, Machine& machine, double now);
+  bool refuses_former_launches(const Heartbeat& heartbeat, Machine& machine);
+  void suspect_restart(const Heartbeat& heartbeat, Machine& machine, double now);
+  void begin_incarnation(const Heartbeat& heartbeat, Machine& machine);
   void begin_epoch(const Heartbeat& heartbeat, Machine& machine, double now);
   void observe_token(const Heartbeat& heartbeat, Machine& machine, double now);
   void record_spot_notice(const Heartbeat& heartbeat, Machine& machine, double now);
--- a/src/scheduler/machine_lifecycle.cc
+++ b/src/scheduler/machine_lifecycle.cc
@@ -48,7 +48,8 @@
       machine.zone = listed.zone;
       machine.spot = listed.spot;
     }
-    if (machine.address.empty()) machine.address = listed.address;
+    if (machine.address.empty() && !state_.machine_at(listed.address))
+      state_.set_address(machine, listed.address);
     if (listed.phase == ListedMachine::Phase::Failed && !machine.is_decommissioning()) {
       state_.note("machine " + listed.name + " is listed as failed by the cloud: returned");
       decommission(listed.name, now);
--- a/tests/history_test.cc
+++ b/tests/history_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <tuple>
 
 #include "scheduler.h"
 
@@ -29,7 +30,10 @@
   std::uint64_t worker_epoch = 1, seq = 0, fencing_token = 0;
   double lease_started_at = 0, next_heartbeat = 0, hung_until = -1, cut_until = -1;
   bool heartbeat_in_flight = false, failing = false, reaches_lease_proxy = false;
+  int incarnation = 1;
+  bool answered = true;  // since it restarted
   std::map<std::pair<std::string, int>, ModelTask> tasks;
+  std::set<std::tuple<std::string, int, std::uint64_t>> attempts;  // job, index, attempt: not cleared yet
 };
 
 /// A controller: its scheduler state, and whether a store write is unanswered.
@@ -41,9 +45,16 @@
   bool writing = false;
 };
 
+/// Events that a history may contain besides the usual faults.
+struct HistoryEvents {
+  /// Controllers and machines are back within a second, a machine with its name and address, but without
+  /// epochs, tokens and tasks; copies of commands that were executed, and of heartbeats, arrive later.
+  bool fast_restarts_and_copies = false;
+};
+
 class History {
  public:
-  explicit History(unsigned seed) : rng_(seed) {
+  explicit History(unsigned seed, HistoryEvents events = {}) : with_(events), rng_(seed) {
     config_.report_s = 2.5, config_.lease_s = 10, config_.gang_wait_s = 15, config_.gang_peer_s = 4;
     config_.cancel_s = 25, config_.value_kb = 1, config_.record_kb = 0.5, config_.zones = {"a", "b"};
     config_.teams = {{"x", 20, 40, 0, 0}, {"y", 20, 100, 0, 8}};
@@ -108,7 +119,7 @@
     return out;
   }
   int starts = 0, finished = 0, failovers = 0, lost_leases = 0, dependency_starts = 0,
-      dependents_of_cancelled = 0;
+      dependents_of_cancelled = 0, machine_restarts = 0, copies = 0, copies_executed = 0;
 
  private:
   struct ModelJob {
@@ -130,6 +141,7 @@
 
   // ------------------------------------------------------------ faults
   void inject_faults() {
+    if (with_.fast_restarts_and_copies && chance(0.01)) restart(random_worker());
     if (chance(0.004)) random_worker().hung_until = now_ + uniform(2, 30);
     if (chance(0.004)) {
       auto& w = random_worker();
@@ -141,7 +153,8 @@
     if (chance(0.006) && controllers_.back()->alive) {  // crash
       controllers_.back()->alive = controllers_.back()->store_reachable = false;
       controllers_.back()->last_store_contact = -1e9;
-      at(now_ + uniform(3, 8), [this] { elect(); });
+      at(now_ + (with_.fast_restarts_and_copies && chance(0.5) ? uniform(0.1, 1) : uniform(3, 8)),
+         [this] { elect(); });
     } else if (chance(0.003) && controllers_.back()->alive &&
                controllers_.back()->store_reachable) {  // loses only access to the state store
       ModelController* h = controllers_.back().get();
@@ -169,6 +182,27 @@
       }
     }
   }
+  /// The machine ends with all that is on it, and its worker begins anew at once.
+  void restart(ModelWorker& w) {
+    w.tasks.clear();
+    w.attempts.clear();
+    w.worker_epoch = 1, w.seq = 0, w.fencing_token = 0;
+    w.lease_started_at = now_;
+    w.next_heartbeat = now_ + uniform(0.05, 1);
+    w.heartbeat_in_flight = false;
+    w.hung_until = -1;
+    w.answered = false;
+    ++w.incarnation;
+    ++machine_restarts;
+  }
+  /// Copies of an executed batch arrive once more, up to minutes later.
+  void send_copies(const std::string& name, const CommandBatch& command_batch) {
+    for (int i = static_cast<int>(rng_() % 4); i > 0; --i)
+      at(now_ + (chance(0.5) ? uniform(0.1, 5) : uniform(0, 60)), [this, name, command_batch] {
+        ++copies;
+        copies_executed += execute_late(name, command_batch);
+      });
+  }
   /// Cancels a job with all its direct and indirect dependents.
   void cancel_with_dependents(const std::string& id) {
     jobs_[id].cancelled = true;
@@ -379,7 +413,7 @@
       // Delivered late or never; the caller only gets a timeout.
       if (chance(0.8))
         at(now_ + (chance(0.5) ? uniform(2.5, 6) : uniform(0, 60)),
-           [this, name, command_batch] { execute(name, command_batch); });
+           [this, name, command_batch] { execute_late(name, command_batch); });
       at(now_ + 3, [this, controller, name, command_batch] {
         if (controller->alive)
           controller->scheduler->dispatch_done(name, command_batch, Outcome::Unanswered, now_);
@@ -388,6 +422,7 @@
     }
     at(now_ + 0.05, [this, controller, name, command_batch] {
       bool done = execute(name, command_batch);
+      if (done && with_.fast_restarts_and_copies) send_copies(name, command_batch);
       auto heartbeat = workers_.contains(name) ? snapshot(workers_[name]) : Heartbeat{};
       at(now_ + 0.05, [this, controller, name, command_batch, done, heartbeat] {
         if (!controller->alive) return;
@@ -416,12 +451,20 @@
     return true;
   }
 
+  /// A worker that has restarted and has no answer yet has no token, so it obeys any command with its epoch.
+  /// No controller can prevent that; such tasks are stopped with the second answer (late_launch_test).
+  bool execute_late(const std::string& name, const CommandBatch& command_batch) {
+    auto w = workers_.find(name);
+    return w != workers_.end() && w->second.answered && execute(name, command_batch);
+  }
+
   void command(ModelWorker& w, const TaskCommand& c) {
     std::pair<std::string, int> key{c.job, c.index};
     auto it = w.tasks.find(key);
     if (c.op == TaskCommand::Op::Forget) {
       if (it != w.tasks.end() && it->second.attempt == c.attempt && it->second.state == TaskState::Exited)
         w.tasks.erase(it);
+      w.attempts.erase({c.job, c.index, c.attempt});
     } else if (c.op == TaskCommand::Op::Stop) {
       if (it != w.tasks.end() && it->second.attempt == c.attempt && it->second.state != TaskState::Exited) {
         it->second.state = TaskState::Exited;
@@ -429,6 +472,8 @@
       }
     } else {
       if (it != w.tasks.end() && it->second.attempt == c.attempt) return;
+      // An exited attempt stays known until it is cleared, also once a later attempt has begun.
+      if (!w.attempts.insert({c.job, c.index, c.attempt}).second) return;
       ModelTask t;
       t.attempt = c.attempt;
       t.until = now_ + uniform(0.5, 4);
@@ -445,6 +490,7 @@
     if (now_ - w.lease_started_at <= config_.lease_s) return;
     lost_leases += !w.tasks.empty();
     w.tasks.clear();
+    w.attempts.clear();
     ++w.worker_epoch;
     w.lease_started_at = now_;
   }
@@ -575,7 +621,7 @@
 
   Heartbeat snapshot(ModelWorker& w) {
     Heartbeat r;
-    r.machine = w.name, r.address = "x", r.type = w.type, r.zone = w.zone, r.spot = w.spot;
+    r.machine = w.name, r.address = "address-of-" + w.name, r.type = w.type, r.zone = w.zone, r.spot = w.spot;
     r.worker_epoch = w.worker_epoch, r.seq = ++w.seq, r.fencing_token = w.fencing_token;
     for (auto& [key, t] : w.tasks)
       r.tasks.push_back({key.first, key.second, t.attempt, t.state, t.why, false});
@@ -611,20 +657,27 @@
     }
     if (cut) {
       if (chance(0.7)) at(now_ + uniform(0, 40), [deliver] { deliver(); });  // late; the answer is lost
-      at(now_ + 4, [this, name] {
-        if (workers_.contains(name)) workers_[name].heartbeat_in_flight = false;
+      at(now_ + 4, [this, name, incarnation = w.incarnation] {
+        auto it = workers_.find(name);
+        if (it != workers_.end() && it->second.incarnation == incarnation)
+          it->second.heartbeat_in_flight = false;
       });
       return;
     }
-    at(now_ + 0.05, [this, deliver, name, sent, worker_epoch = r.worker_epoch] {
+    if (with_.fast_restarts_and_copies && chance(0.2))  // a copy, of which nobody gets the answer
+      at(now_ + uniform(0, 60), [this, r] {
+        ModelController& leader = *controllers_.back();
+        if (leader.alive) leader.scheduler->on_heartbeat(r, Scheduler::Channel::Heartbeat, now_);
+      });
+    at(now_ + 0.05, [this, deliver, name, sent, worker_epoch = r.worker_epoch, incarnation = w.incarnation] {
       auto result = deliver();
       bool lost = chance(0.02);
       at(now_ + (lost          ? 4
                  : chance(0.2) ? uniform(0.05, 3.5)
                                : 0.05),
-         [this, name, sent, worker_epoch, result, lost] {
+         [this, name, sent, worker_epoch, incarnation, result, lost] {
            auto it = workers_.find(name);
-           if (it == workers_.end()) return;
+           if (it == workers_.end() || it->second.incarnation != incarnation) return;
            ModelWorker& w = it->second;
            w.heartbeat_in_flight = false;
            if (now_ <= w.hung_until) return;
@@ -633,12 +686,14 @@
                result.fencing_token < w.fencing_token)
              return;
            w.fencing_token = result.fencing_token;
+           w.answered = true;
            w.lease_started_at = sent;
            for (const auto& c : result.commands) command(w, c);
          });
     });
   }
 
+  HistoryEvents with_;
   std::mt19937 rng_;
   SchedulerConfig config_;
   std::vector<MachineType> types_;
@@ -674,5 +729,24 @@
   EXPECT_GT(dependents_of_cancelled, 50);
 }
 
+// Guards against tasks that run twice or after their cancellation: a worker that no longer knows an attempt
+// starts it again if a copy of the launch reaches it. It may have cleared the attempt, begun a new epoch, or
+// restarted.
+TEST(History, CopiesOfLaunchesAfterFastRestartsStartNothing) {
+  int starts = 0, restarts = 0, copies = 0, copies_executed = 0;
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    History h(seed, {.fast_restarts_and_copies = true});
+    h.run(240, 900);
+    if (HasFatalFailure()) FAIL() << "seed " << seed;
+    EXPECT_EQ(h.unfinished(), std::vector<std::string>{}) << "seed " << seed;
+    starts += h.starts, restarts += h.machine_restarts;
+    copies += h.copies, copies_executed += h.copies_executed;
+  }
+  EXPECT_GT(starts, 5000);
+  EXPECT_GT(restarts, 1000);
+  EXPECT_GT(copies, 5000);
+  EXPECT_GT(copies_executed, 100) << "by workers that still know the attempts";
+}
+
 }  // namespace
 }  // namespace corkmux
--- a/tests/index_consistency_test.cc
+++ b/tests/index_consistency_test.cc
@@ -34,7 +34,7 @@
   void add_worker() {
     Heartbeat heartbeat;
     heartbeat.machine = "n-" + std::to_string(++revision);
-    heartbeat.address = "x";
+    heartbeat.address = "address-of-" + heartbeat.machine;
     heartbeat.type = up_to(2) ? "plain" : "gpu";
     heartbeat.zone = up_to(2) ? "a" : "b";
     heartbeat.spot = up_to(4) == 0;
--- a/tests/scheduler_fixture.h
+++ b/tests/scheduler_fixture.h
@@ -16,7 +16,7 @@
 inline Heartbeat first_heartbeat(const std::string& machine, const std::string& zone = "a") {
   Heartbeat heartbeat;
   heartbeat.machine = machine;
-  heartbeat.address = "x";
+  heartbeat.address = "address-of-" + machine;
   heartbeat.type = "plain";
   heartbeat.zone = zone;
   heartbeat.worker_epoch = 1;
--- a/tests/scheduler_modules.h
+++ b/tests/scheduler_modules.h
@@ -34,7 +34,7 @@
     Machine& machine = state.add_machine(name, now).machine;
     machine.type = "plain";
     machine.zone = "a";
-    machine.address = "x";
+    state.set_address(machine, "address-of-" + name);
     machine.size = state.type("plain")->size;
     machine.free = machine.size;
     machine.state = MachineState::Up;
--- a/tests/scheduling_cost_test.cc
+++ b/tests/scheduling_cost_test.cc
@@ -23,7 +23,7 @@
     for (int i = 0; i < n; ++i) {
       Heartbeat heartbeat;
       heartbeat.machine = "n-" + std::to_string(i);
-      heartbeat.address = "x";
+      heartbeat.address = "address-of-" + heartbeat.machine;
       heartbeat.type = i % 5 < 3 ? "plain" : "gpu";
       heartbeat.zone = i % 2 ? "a" : "b";
       heartbeat.worker_epoch = 1;
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -103,7 +103,8 @@
   void send_heartbeat(Scheduler& scheduler, const std::string& name, std::uint64_t fencing_token) {
     Worker& w = workers[name];
     Heartbeat r;
-    r.machine = name, r.address = "x", r.type = "plain", r.zone = "rabat-agdal", r.worker_epoch = 1;
+    r.machine = name, r.address = "address-of-" + name, r.type = "plain", r.zone = "rabat-agdal",
+    r.worker_epoch = 1;
     r.seq = ++w.seq;
     r.fencing_token = fencing_token;
     for (const auto& [i, t] : w.tasks) r.tasks.push_back(t);
--- a/tests/write_ahead_test.cc
+++ b/tests/write_ahead_test.cc
@@ -23,7 +23,7 @@
                                        const std::vector<TaskStatus>& tasks = {},
                                        const std::string& zone = "a") {
     Heartbeat& r = last[name];
-    r.machine = name, r.address = "x", r.type = "plain", r.zone = zone, r.worker_epoch = 1;
+    r.machine = name, r.address = "address-of-" + name, r.type = "plain", r.zone = zone, r.worker_epoch = 1;
     ++r.seq, r.fencing_token = fencing_token, r.tasks = tasks;
     return scheduler->on_heartbeat(r, Scheduler::Channel::Heartbeat, now);
   }
@@ -168,10 +168,18 @@
   EXPECT_EQ(next.team_use("x").cpus, 16);
   EXPECT_EQ(next.job(s.id)->active.count(1), 1u);
   // A new worker epoch has no task of the former one: then all tasks are done, however the task there ended.
+  // To the new leader only a heartbeat with its own token shows that: any other may be of a former
+  // incarnation of the machine, with higher epochs than that in which the task was started.
   Heartbeat r = last[active.at(1).machine];
   r.worker_epoch = 2, r.seq = 1, r.tasks.clear();
-  for (Scheduler* scheduler : {scheduler.get(), &next}) {
-    scheduler->on_heartbeat(r, Scheduler::Channel::Heartbeat, 3);
+  Heartbeat to_next = r;
+  to_next.fencing_token = next.on_heartbeat(r, Scheduler::Channel::Heartbeat, 3).fencing_token;
+  EXPECT_EQ(next.team_use("x").cpus, 16);
+  EXPECT_EQ(next.job(s.id)->active.count(1), 1u);
+  ++to_next.seq;
+  const std::pair<Scheduler*, Heartbeat> proofs[] = {{scheduler.get(), r}, {&next, to_next}};
+  for (const auto& [scheduler, proof] : proofs) {
+    scheduler->on_heartbeat(proof, Scheduler::Channel::Heartbeat, 3);
     EXPECT_EQ(scheduler->team_use("x").cpus, 0);
     EXPECT_EQ(scheduler->job(s.id)->done, 2);
     EXPECT_EQ(scheduler->finished_jobs().size(), 1u);
