--- a/src/scheduler/heartbeat_reconciler.cc
+++ b/src/scheduler/heartbeat_reconciler.cc
@@ -70,6 +70,7 @@
     refusal.fencing_token = machine.worker.fencing_token;
     return refusal;
   }
+  if (!heartbeat.address.empty()) state_.set_address(machine, heartbeat.address);
   if (heartbeat.worker_epoch > machine.worker.epoch) begin_epoch(heartbeat, machine, now);
   if (state_.silent(machine, now)) state_.request_cycle();
   machine.worker.seq = heartbeat.seq;
@@ -106,7 +107,6 @@
   // that is given now, not than one that was given when the machine was requested.
   if (!added && !machine.is_up() && !mutation_gives_tokens_of_others()) state_.raise_fencing_token(machine);
   if (!machine.is_up() || machine.type.empty()) register_worker(heartbeat, machine, now);
-  if (!heartbeat.address.empty()) state_.set_address(machine, heartbeat.address);
   state_.mark_for_dispatch(machine.name);
   return machine;
 }
--- a/tests/late_launch_test.cc
+++ b/tests/late_launch_test.cc
@@ -335,6 +335,15 @@
   EXPECT_GT(send_heartbeat_of_other().fencing_token, token_of_launch);
 }
 
+TEST_F(ReusedAddress, ALateHeartbeatOfTheFormerMachineTakesNoAddress) {
+  Heartbeat late = worker.heartbeat;
+  other.heartbeat.address = worker.heartbeat.address;
+  send_heartbeat_of_other();
+  scheduler->on_heartbeat(late, Scheduler::Channel::Heartbeat, now);
+  EXPECT_EQ(scheduler->machine("n-2")->address, other.heartbeat.address);
+  EXPECT_TRUE(scheduler->machine("n-1")->address.empty());
+}
+
 TEST_F(ReusedAddress, TheMachineThatHadTheAddressGetsNoMoreCommands) {
   scheduler->dispatch_done("n-1", CommandBatch{}, Outcome::Executed, now);
   other.heartbeat.address = worker.heartbeat.address;
