--- a/src/heartbeat_fanin/heartbeat_forwarder.cc
+++ b/src/heartbeat_fanin/heartbeat_forwarder.cc
@@ -43,8 +43,7 @@
 void HeartbeatForwarder::add_outcome(CommandOutcome outcome) {
   // An outcome whose heartbeat fits into no batch would hold up all outcomes behind it. Without its heartbeat
   // the leader must not conclude anything from it, so it counts as unknown.
-  if (size_of(outcome) > constants::kBatchBytes)
-    outcome.reply = WorkerReply::from_wire(0, /*sent=*/true, "");
+  if (size_of(outcome) > constants::kBatchBytes) outcome.reply = WorkerReply::from_wire(0, /*sent=*/true, "");
   outcomes_.push_back(std::move(outcome));
   schedule(constants::kChangeBatchDelay);
 }
